--- /dev/null
+++ b/connid/connid.go
@@ -0,0 +1,112 @@
+// Package connid mints and reads routable QUIC connection IDs.
+//
+// A connection ID is one key number byte followed by one AES block. The block
+// holds the agent's address, the service number and random bytes, so that a
+// balancer without any state per flow can route a packet by the ID alone, and
+// an observer without the fleet key can neither link two IDs of one connection
+// nor forge one for another service.
+package connid
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+)
+
+const (
+	// Len is the length of a connection ID in bytes (RFC 9000 allows 20).
+	Len = 1 + aes.BlockSize
+	// KeyLen is the length of a fleet key in bytes (AES-128).
+	KeyLen = 16
+
+	agentOffset   = 0
+	portOffset    = 4
+	serviceOffset = 6
+	randomOffset  = 10
+)
+
+// Target is what a connection ID says.
+type Target struct {
+	Agent   netip.AddrPort // IPv4 address of the agent that holds the connection
+	Service uint32         // service number in the catalogue
+}
+
+// Key is one fleet key under its number.
+type Key struct {
+	Number byte
+	Secret [KeyLen]byte
+}
+
+// Codec mints IDs under its first key and reads IDs under any of its keys.
+// It is safe for concurrent use.
+type Codec struct {
+	mint  byte
+	block [256]cipher.Block
+}
+
+// KeyError tells why a set of keys can't be used.
+type KeyError struct {
+	Number byte
+	Reason string
+	Remedy string
+}
+
+func (e *KeyError) Error() string {
+	return fmt.Sprintf("fleet key %d: %s; %s", e.Number, e.Reason, e.Remedy)
+}
+
+// NewCodec returns a codec that mints under keys[0] and accepts all of keys.
+// Two keys are valid at once while a fleet key is being rotated.
+func NewCodec(keys ...Key) (*Codec, error) {
+	if len(keys) == 0 {
+		return nil, &KeyError{Reason: "no key given", Remedy: "give at least one fleet key"}
+	}
+	c := &Codec{mint: keys[0].Number}
+	for _, k := range keys {
+		if c.block[k.Number] != nil {
+			return nil, &KeyError{Number: k.Number, Reason: "number used twice", Remedy: "give each key its own number"}
+		}
+		b, err := aes.NewCipher(k.Secret[:])
+		if err != nil {
+			return nil, &KeyError{Number: k.Number, Reason: err.Error(), Remedy: "give 16 random bytes"}
+		}
+		c.block[k.Number] = b
+	}
+	return c, nil
+}
+
+// Mint returns a fresh connection ID for t.
+func (c *Codec) Mint(t Target) [Len]byte {
+	var id [Len]byte
+	id[0] = c.mint
+	plain := id[1:]
+	ip := t.Agent.Addr().As4()
+	copy(plain[agentOffset:], ip[:])
+	binary.BigEndian.PutUint16(plain[portOffset:], t.Agent.Port())
+	binary.BigEndian.PutUint32(plain[serviceOffset:], t.Service)
+	rand.Read(plain[randomOffset:])
+	c.block[c.mint].Encrypt(plain, plain)
+	return id
+}
+
+// Read returns what id says. ok is false for an ID of another length or under
+// an unknown key. A forged ID decodes to an arbitrary target: the caller must
+// compare Target.Service with the service that it expects.
+func (c *Codec) Read(id []byte) (t Target, ok bool) {
+	if len(id) != Len {
+		return Target{}, false
+	}
+	b := c.block[id[0]]
+	if b == nil {
+		return Target{}, false
+	}
+	var plain [aes.BlockSize]byte
+	b.Decrypt(plain[:], id[1:])
+	addr := netip.AddrFrom4([4]byte(plain[agentOffset:portOffset]))
+	t.Agent = netip.AddrPortFrom(addr, binary.BigEndian.Uint16(plain[portOffset:]))
+	t.Service = binary.BigEndian.Uint32(plain[serviceOffset:])
+	return t, true
+}
