Data path: frames, batch sockets, forwarding, virtual connection; stand-ins

Cause: the thin whole path needs the packet path and the stand-ins that it is tried with. Conclusion: builds; not run end to end yet.

--- a/connid/connid.go
+++ b/connid/connid.go
@@ -92,21 +92,32 @@
 	return id
 }
 
+// Reader reads connection IDs without allocating. One goroutine uses it at a
+// time; each duty that reads IDs takes its own.
+type Reader struct {
+	codec *Codec
+	plain [aes.BlockSize]byte
+}
+
+// Reader returns a reader of the codec's IDs.
+func (c *Codec) Reader() *Reader {
+	return &Reader{codec: c}
+}
+
 // Read returns what id says. ok is false for an ID of another length or under
 // an unknown key. A forged ID decodes to an arbitrary target: the caller must
 // compare Target.Service with the service that it expects.
-func (c *Codec) Read(id []byte) (t Target, ok bool) {
+func (r *Reader) Read(id []byte) (t Target, ok bool) {
 	if len(id) != Len {
 		return Target{}, false
 	}
-	b := c.block[id[0]]
+	b := r.codec.block[id[0]]
 	if b == nil {
 		return Target{}, false
 	}
-	var plain [aes.BlockSize]byte
-	b.Decrypt(plain[:], id[1:])
-	addr := netip.AddrFrom4([4]byte(plain[agentOffset:portOffset]))
-	t.Agent = netip.AddrPortFrom(addr, binary.BigEndian.Uint16(plain[portOffset:]))
-	t.Service = binary.BigEndian.Uint32(plain[serviceOffset:])
+	b.Decrypt(r.plain[:], id[1:])
+	addr := netip.AddrFrom4([4]byte(r.plain[agentOffset:portOffset]))
+	t.Agent = netip.AddrPortFrom(addr, binary.BigEndian.Uint16(r.plain[portOffset:]))
+	t.Service = binary.BigEndian.Uint32(r.plain[serviceOffset:])
 	return t, true
 }
--- /dev/null
+++ b/internal/agent/backend.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	backendDialTimeout = 2 * time.Second
+	backendIdleConns   = 64
+	backendIdleTimeout = 30 * time.Second
+)
+
+// CallError is a request to the backend server that got no whole answer
+// header. Sent tells whether any byte of the request may have reached it.
+type CallError struct {
+	Sent bool
+	Err  error
+}
+
+func (e *CallError) Error() string {
+	if e.Sent {
+		return fmt.Sprintf("backend server gave no answer after the request went out: %v; the request may have run", e.Err)
+	}
+	return fmt.Sprintf("backend server took no byte of the request: %v; it was not run and may be sent again", e.Err)
+}
+
+func (e *CallError) Unwrap() error { return e.Err }
+
+// backend calls one backend server over HTTP/1.1.
+type backend struct {
+	url       *url.URL
+	transport *http.Transport
+}
+
+func newBackend(u *url.URL) *backend {
+	dialer := &net.Dialer{Timeout: backendDialTimeout}
+	return &backend{url: u, transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: c}, nil
+		},
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: backendIdleConns,
+		IdleConnTimeout:     backendIdleTimeout,
+	}}
+}
+
+// countingConn counts the bytes written, by which a failed call tells whether
+// the backend server can have seen any of its request.
+type countingConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	// Counted before the write: a write that fails may have sent a part.
+	c.written.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+// sentProbe watches one call for bytes that went out.
+type sentProbe struct {
+	conn   atomic.Pointer[countingConn]
+	before atomic.Int64
+}
+
+func (p *sentProbe) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		c, ok := i.Conn.(*countingConn)
+		if !ok {
+			return
+		}
+		p.before.Store(c.written.Load())
+		p.conn.Store(c)
+	}}
+}
+
+func (p *sentProbe) sent() bool {
+	c := p.conn.Load()
+	return c != nil && c.written.Load() > p.before.Load()
+}
+
+// singleUse hides what the body is, so that http.Transport can't send it again.
+//
+// Transport repeats a request on a new connection when the one it reused was
+// closed before an answer came, if the body is empty and the request carries
+// an Idempotency-Key. The backend server may have run the first copy: the work
+// would run twice. A body that is neither nil nor rewindable is never repeated.
+type singleUse struct{ io.ReadCloser }
+
+// do sends a request once and returns the answer's header and body. A failure
+// is a *CallError.
+func (b *backend) do(ctx context.Context, in *http.Request, header http.Header) (*http.Response, error) {
+	probe := &sentProbe{}
+	ctx = httptrace.WithClientTrace(ctx, probe.trace())
+	u := *b.url
+	u.Path, u.RawPath, u.RawQuery = in.URL.Path, in.URL.RawPath, in.URL.RawQuery
+	out := (&http.Request{
+		Method:        in.Method,
+		URL:           &u,
+		Host:          in.Host,
+		Header:        header,
+		Body:          singleUse{in.Body},
+		ContentLength: in.ContentLength,
+	}).WithContext(ctx)
+	if safeMethod(in.Method) && in.ContentLength <= 0 {
+		out.Body, out.ContentLength = nil, 0
+	}
+	resp, err := b.transport.RoundTrip(out)
+	if err != nil {
+		return nil, &CallError{Sent: probe.sent(), Err: err}
+	}
+	return resp, nil
+}
+
+// safeMethod reports whether requests with the method may run any number of
+// times (RFC 9110, 9.2.1).
+func safeMethod(m string) bool {
+	return m == http.MethodGet || m == http.MethodHead || m == http.MethodOptions
+}
+
+func (b *backend) close() { b.transport.CloseIdleConnections() }
+
+// callFailed returns the CallError in err.
+func callFailed(err error) *CallError {
+	var e *CallError
+	if errors.As(err, &e) {
+		return e
+	}
+	return &CallError{Sent: true, Err: err}
+}
--- /dev/null
+++ b/internal/agent/metrics.go
@@ -0,0 +1,50 @@
+package agent
+
+import "github.com/prometheus/client_golang/prometheus"
+
+type metrics struct {
+	strangers       prometheus.Counter
+	foreign         prometheus.Counter
+	handedOn        prometheus.Counter
+	noWay           prometheus.Counter
+	sendErrors      prometheus.Counter
+	dataOverflow    prometheus.Counter
+	controlOverflow prometheus.Counter
+	controlBad      prometheus.Counter
+	connections     prometheus.Gauge
+	busySlots       prometheus.Gauge
+	requests        *prometheus.CounterVec
+	refusals        *prometheus.CounterVec
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	counter := func(name, help string) prometheus.Counter {
+		c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: "hemlock", Subsystem: "agent", Name: name, Help: help})
+		r.MustRegister(c)
+		return c
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "hemlock", Subsystem: "agent", Name: name, Help: help})
+		r.MustRegister(g)
+		return g
+	}
+	vec := func(name, help, label string) *prometheus.CounterVec {
+		v := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "hemlock", Subsystem: "agent", Name: name, Help: help}, []string{label})
+		r.MustRegister(v)
+		return v
+	}
+	return &metrics{
+		strangers:       counter("strange_datagrams_total", "Datagrams that no process of the fleet sent."),
+		foreign:         counter("foreign_packets_total", "Packets for another service, dropped."),
+		handedOn:        counter("handed_on_total", "First packets handed on to another agent."),
+		noWay:           counter("no_way_back_total", "Packets for callers whose path is not known."),
+		sendErrors:      counter("send_errors_total", "Datagrams that the kernel refused to send."),
+		dataOverflow:    counter("data_overflow_total", "Caller packets dropped because the data ring was full."),
+		controlOverflow: counter("control_overflow_total", "Control datagrams dropped because the control ring was full."),
+		controlBad:      counter("control_rejected_total", "Control datagrams that could not be opened or read."),
+		connections:     gauge("connections", "Open caller connections."),
+		busySlots:       gauge("busy_slots", "Requests at work on the backend server."),
+		requests:        vec("requests_total", "Requests by outcome.", "outcome"),
+		refusals:        vec("refusals_total", "Requests refused before anything was sent to the backend server, by reason.", "reason"),
+	}
+}
--- /dev/null
+++ b/internal/agent/packetconn.go
@@ -0,0 +1,242 @@
+package agent
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+	"github.com/hemlockscale/hemlockscale/internal/frame"
+	"github.com/hemlockscale/hemlockscale/internal/udp"
+)
+
+const (
+	// dataRing is how many caller packets may wait for QUIC. When it is full
+	// the newest is dropped and counted: QUIC recovers from loss and slows
+	// its sender down, while blocking would hold up control datagrams.
+	dataRing = 4096
+	// controlRing is the same for control datagrams; their protocols repeat.
+	controlRing = 256
+)
+
+// arrival is a caller packet for QUIC.
+type arrival struct {
+	data *[udp.MaxDatagram]byte
+	n    int
+	from *net.UDPAddr
+}
+
+// controlDatagram is a sealed message as it arrived.
+type controlDatagram struct {
+	from netip.AddrPort
+	data []byte
+}
+
+// firstPacketPolicy decides where a flow's first packet goes.
+type firstPacketPolicy interface {
+	// handOn returns the agent that takes the flow instead of this one.
+	handOn(h *frame.Header, packet []byte) (to netip.AddrPort, ok bool)
+	// load returns the occupancy that goes with return datagrams.
+	load() byte
+}
+
+// packetConn carries QUIC's packets inside frames over the internal socket.
+// To QUIC it is a net.PacketConn whose addresses are virtual, see pathKey.
+type packetConn struct {
+	socket  *udp.Conn
+	paths   *paths
+	policy  firstPacketPolicy
+	service atomic.Uint32 // 0 until the catalogue entry is known
+	metrics *metrics
+
+	in      *frame.Codec // of the receive duty
+	data    chan arrival
+	control chan controlDatagram
+	buffers sync.Pool
+	writers sync.Pool
+
+	closed    chan struct{}
+	closeOnce sync.Once
+
+	expired    chan struct{}
+	expireOnce sync.Once
+}
+
+// outBuffer is the memory that one return datagram is built in.
+type outBuffer struct {
+	codec  *frame.Codec
+	header frame.Header
+	b      [frame.Len + udp.MaxDatagram]byte
+}
+
+func newPacketConn(ring fleetkey.Ring, socket *udp.Conn, policy firstPacketPolicy, m *metrics) (*packetConn, error) {
+	in, err := frame.NewCodec(ring)
+	if err != nil {
+		return nil, err
+	}
+	c := &packetConn{
+		socket:  socket,
+		paths:   newPaths(),
+		policy:  policy,
+		metrics: m,
+		in:      in,
+		data:    make(chan arrival, dataRing),
+		control: make(chan controlDatagram, controlRing),
+		closed:  make(chan struct{}),
+		expired: make(chan struct{}),
+	}
+	c.buffers.New = func() any { return new([udp.MaxDatagram]byte) }
+	c.writers.New = func() any {
+		codec, _ := frame.NewCodec(ring) // the same call succeeded above
+		return &outBuffer{codec: codec}
+	}
+	return c, nil
+}
+
+// receive is the duty that reads the internal socket. It returns when the
+// socket is closed.
+func (c *packetConn) receive() error {
+	r := udp.NewReader(c.socket)
+	w := udp.NewWriter(c.socket)
+	var h frame.Header
+	for {
+		n, err := r.Read()
+		if err != nil {
+			return ignoreClosed(err)
+		}
+		now := time.Now()
+		for i := range n {
+			c.take(r, w, i, &h, now)
+		}
+		w.Flush()
+	}
+}
+
+func (c *packetConn) take(r *udp.Reader, w *udp.Writer, i int, h *frame.Header, now time.Time) {
+	b := r.Datagram(i)
+	if len(b) > 0 && frame.Kind(b[0]) == frame.KindControl {
+		c.passControl(r.Source(i), b)
+		return
+	}
+	if r.Truncated(i) || !c.in.Get(b, h) || h.Kind != frame.KindForward {
+		c.metrics.strangers.Inc()
+		return
+	}
+	// After a restart another service's agent may hold this address, and a
+	// balancer with an old roster still sends here what was meant for it.
+	if h.Service != c.service.Load() {
+		c.metrics.foreign.Inc()
+		return
+	}
+	packet := b[frame.Len:]
+	if h.Flags&frame.FlagFirst != 0 && h.Flags&frame.FlagHandedOn == 0 {
+		if to, ok := c.policy.handOn(h, packet); ok {
+			h.Flags |= frame.FlagHandedOn
+			c.in.Put(b, h)
+			w.Add(b, to, netip.Addr{})
+			c.metrics.handedOn.Inc()
+			return
+		}
+	}
+	c.deliver(packet, c.paths.heard(h, now))
+}
+
+func (c *packetConn) deliver(packet []byte, from *net.UDPAddr) {
+	buf := c.buffers.Get().(*[udp.MaxDatagram]byte)
+	a := arrival{data: buf, n: copy(buf[:], packet), from: from}
+	select {
+	case c.data <- a:
+	default:
+		c.buffers.Put(buf)
+		c.metrics.dataOverflow.Inc()
+	}
+}
+
+func (c *packetConn) passControl(from netip.AddrPort, b []byte) {
+	data := append([]byte(nil), b...)
+	select {
+	case c.control <- controlDatagram{from: from, data: data}:
+	default:
+		c.metrics.controlOverflow.Inc()
+	}
+}
+
+// ReadFrom returns the next caller packet.
+func (c *packetConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	select {
+	case a := <-c.data:
+		n := copy(p, a.data[:a.n])
+		c.buffers.Put(a.data)
+		return n, a.from, nil
+	case <-c.closed:
+		return 0, nil, net.ErrClosed
+	case <-c.expired:
+		return 0, nil, os.ErrDeadlineExceeded
+	}
+}
+
+// WriteTo sends a packet to the caller behind the virtual address.
+func (c *packetConn) WriteTo(p []byte, to net.Addr) (int, error) {
+	u, ok := to.(*net.UDPAddr)
+	if !ok {
+		return 0, net.ErrClosed
+	}
+	key, ok := keyOf(u)
+	if !ok {
+		return len(p), nil
+	}
+	var routes [2]route
+	n := c.paths.back(key, time.Now(), &routes)
+	if n == 0 {
+		c.metrics.noWay.Inc()
+		return len(p), nil // lost on the way, as any datagram may be
+	}
+	o := c.writers.Get().(*outBuffer)
+	defer c.writers.Put(o)
+	size := frame.Len + copy(o.b[frame.Len:], p)
+	for _, r := range routes[:n] {
+		o.header = frame.Header{
+			Kind:    frame.KindReturn,
+			Load:    c.policy.load(),
+			Service: c.service.Load(),
+			Caller:  key.caller,
+			Address: key.address,
+			Via:     r.balancer,
+			Seq:     r.seq,
+		}
+		o.codec.Put(o.b[:], &o.header)
+		if c.socket.WriteTo(o.b[:size], r.balancer) != nil {
+			c.metrics.sendErrors.Inc()
+		}
+	}
+	return len(p), nil
+}
+
+// Close ends ReadFrom. The socket is closed by the agent.
+func (c *packetConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return nil
+}
+
+// LocalAddr returns the address of the internal socket.
+func (c *packetConn) LocalAddr() net.Addr {
+	return net.UDPAddrFromAddrPort(c.socket.LocalAddr())
+}
+
+// SetDeadline is SetReadDeadline: writes never wait.
+func (c *packetConn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+// SetWriteDeadline does nothing: writes never wait.
+func (c *packetConn) SetWriteDeadline(time.Time) error { return nil }
+
+// SetReadDeadline ends ReadFrom for good when t is set. QUIC sets a deadline
+// only when it closes, to wake its reader.
+func (c *packetConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() {
+		c.expireOnce.Do(func() { close(c.expired) })
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/balancer/dataplane.go
@@ -0,0 +1,144 @@
+package balancer
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+
+	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+	"github.com/hemlockscale/hemlockscale/internal/frame"
+	"github.com/hemlockscale/hemlockscale/internal/udp"
+)
+
+// controlRing is how many control datagrams may wait for the control duty.
+// When it is full the newest is dropped and counted: every control message is
+// repeated or repaired by its protocol, and blocking would stop the packets
+// of all flows.
+const controlRing = 1024
+
+// controlDatagram is a sealed message as it arrived.
+type controlDatagram struct {
+	from netip.AddrPort
+	data []byte
+}
+
+// LoadObserver is told the occupancy that agents report on return datagrams.
+type LoadObserver interface {
+	Observe(service uint32, agent netip.AddrPort, load byte)
+}
+
+// dataplane moves packets between the public socket, which callers reach
+// through the fabric, and the internal one, which agents reach.
+type dataplane struct {
+	public    *udp.Conn
+	internal  *udp.Conn
+	forwarder *Forwarder
+	codec     *frame.Codec // of the outward duty
+	observer  LoadObserver
+	control   chan controlDatagram
+	metrics   *metrics
+	span      spanRecorder
+}
+
+func newDataplane(ring fleetkey.Ring, public, internal *udp.Conn, f *Forwarder, o LoadObserver, m *metrics) (*dataplane, error) {
+	codec, err := frame.NewCodec(ring)
+	if err != nil {
+		return nil, err
+	}
+	return &dataplane{
+		public:    public,
+		internal:  internal,
+		forwarder: f,
+		codec:     codec,
+		observer:  o,
+		control:   make(chan controlDatagram, controlRing),
+		metrics:   m,
+	}, nil
+}
+
+// inward is the duty that carries caller packets to agents. It returns when
+// the public socket is closed.
+func (d *dataplane) inward() error {
+	r := udp.NewReader(d.public)
+	w := udp.NewWriter(d.internal)
+	for {
+		n, err := r.Read()
+		if err != nil {
+			return ignoreClosed(err)
+		}
+		for i := range n {
+			d.forward(r, w, i)
+		}
+		d.metrics.sendErrors.Add(float64(w.Flush()))
+	}
+}
+
+func (d *dataplane) forward(r *udp.Reader, w *udp.Writer, i int) {
+	address, ok := r.Destination(i)
+	if !ok || r.Truncated(i) {
+		d.metrics.packets[DropOversize].Inc()
+		return
+	}
+	b := r.WithHeadroom(i, frame.Len)
+	agent, v := d.forwarder.Forward(b, r.Source(i), address)
+	d.metrics.packets[v].Inc()
+	if v != Forwarded {
+		return
+	}
+	if d.span != nil && d.forwarder.header.Flags&frame.FlagFirst != 0 {
+		d.span.first(&d.forwarder.header, d.forwarder.packet.ID, agent)
+	}
+	w.Add(b, agent, netip.Addr{})
+}
+
+// outward is the duty that carries agents' packets to callers and passes
+// control datagrams on. It returns when the internal socket is closed.
+func (d *dataplane) outward() error {
+	r := udp.NewReader(d.internal)
+	w := udp.NewWriter(d.public)
+	var h frame.Header
+	for {
+		n, err := r.Read()
+		if err != nil {
+			return ignoreClosed(err)
+		}
+		for i := range n {
+			d.giveBack(r, w, i, &h)
+		}
+		d.metrics.sendErrors.Add(float64(w.Flush()))
+	}
+}
+
+func (d *dataplane) giveBack(r *udp.Reader, w *udp.Writer, i int, h *frame.Header) {
+	b := r.Datagram(i)
+	if len(b) > 0 && frame.Kind(b[0]) == frame.KindControl {
+		d.passControl(r.Source(i), b)
+		return
+	}
+	if r.Truncated(i) || !d.codec.Get(b, h) || h.Kind != frame.KindReturn || len(b) == frame.Len {
+		d.metrics.strangers.Inc()
+		return
+	}
+	agent := r.Source(i)
+	d.forwarder.peers.saw(agent, h.Seq)
+	d.observer.Observe(h.Service, agent, h.Load)
+	d.metrics.returned.Inc()
+	w.Add(b[frame.Len:], h.Caller, h.Address.Addr())
+}
+
+func (d *dataplane) passControl(from netip.AddrPort, b []byte) {
+	data := append([]byte(nil), b...)
+	select {
+	case d.control <- controlDatagram{from: from, data: data}:
+	default:
+		d.metrics.controlOverflow.Inc()
+	}
+}
+
+// ignoreClosed turns the error of a closed socket into the end of a duty.
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,152 @@
+// Package daemon is what every process of the system has in common: its log,
+// its metrics and readiness page, its signals, and the group of its duties.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const adminHeaderTimeout = 5 * time.Second
+
+// Config is the settings that every process has.
+type Config struct {
+	Role  string
+	Admin netip.AddrPort // address of the metrics and readiness page
+	Level string         // log level: debug, info, warn or error
+}
+
+// Daemon is one process.
+type Daemon struct {
+	Log      *zap.Logger
+	Registry *prometheus.Registry
+	Mux      *http.ServeMux // pages of the admin address
+	admin    net.Listener
+	ready    atomic.Bool
+	group    run.Group
+}
+
+// New opens the log and the admin address.
+func New(cfg Config) (*Daemon, error) {
+	log, err := NewLog(cfg.Role, cfg.Level)
+	if err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp4", cfg.Admin.String())
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{Log: log, Registry: prometheus.NewRegistry(), Mux: http.NewServeMux(), admin: ln}
+	d.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	d.Mux.Handle("GET /metrics", promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{}))
+	d.Mux.HandleFunc("GET /ready", d.serveReady)
+	return d, nil
+}
+
+// NewLog returns a JSON log on standard error.
+func NewLog(role, level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(l)
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.Sampling = nil
+	log, err := cfg.Build()
+	if err != nil {
+		return nil, err
+	}
+	return log.With(zap.String("role", role)), nil
+}
+
+// SetReady changes what the readiness page says.
+func (d *Daemon) SetReady(ready bool) { d.ready.Store(ready) }
+
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !d.ready.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.Write([]byte("ready\n"))
+}
+
+// AdminAddr returns the address of the admin pages.
+func (d *Daemon) AdminAddr() string { return d.admin.Addr().String() }
+
+// Part is one part of a process with its own lifecycle.
+type Part interface {
+	// Run does the part's duties until Close, or until one of them fails.
+	Run() error
+	// Drain is the graceful end: it returns when no work is left or ctx ends.
+	Drain(ctx context.Context)
+	// Close ends Run.
+	Close()
+}
+
+// Run runs p until a signal or a failure. SIGTERM and SIGINT drain p for at
+// most drain and then close it; a second signal ends the drain.
+func (d *Daemon) Run(p Part, drain time.Duration) error {
+	d.group.Add(p.Run, func(error) { p.Close() })
+	d.addAdmin()
+	d.addSignals(p, drain)
+	err := d.group.Run()
+	d.Log.Sync()
+	return err
+}
+
+func (d *Daemon) addAdmin() {
+	s := &http.Server{Handler: d.Mux, ReadHeaderTimeout: adminHeaderTimeout}
+	d.group.Add(func() error {
+		err := s.Serve(d.admin)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	}, func(error) { s.Close() })
+}
+
+func (d *Daemon) addSignals(p Part, drain time.Duration) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	done := make(chan struct{})
+	d.group.Add(func() error {
+		select {
+		case s := <-signals:
+			d.Log.Info("draining", zap.Stringer("signal", s), zap.Duration("limit", drain))
+		case <-done:
+			return nil
+		}
+		d.SetReady(false)
+		ctx, cancel := context.WithTimeout(context.Background(), drain)
+		defer cancel()
+		go func() {
+			select {
+			case <-signals:
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+		p.Drain(ctx)
+		d.Log.Info("drained", zap.Bool("complete", ctx.Err() == nil))
+		return nil
+	}, func(error) {
+		signal.Stop(signals)
+		close(done)
+	})
+}
--- /dev/null
+++ b/internal/standin/backend/backend.go
@@ -0,0 +1,230 @@
+// Package backend stands in for a customer's backend server: HTTP/1.1, a few
+// slots, a bound on connections, endpoints for health and load that may lag or
+// lie, and a journal of the work that it ran.
+package backend
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hemlockscale/hemlockscale/internal/standin/content"
+)
+
+// Config is the settings of a backend server.
+type Config struct {
+	Listen      string // address and port
+	Name        string // told to callers in the header Backend-Server
+	Service     string // told to callers in the header Backend-Service
+	Slots       int    // short requests at work at once
+	Connections int
+	Work        time.Duration // time that a short request takes
+	LoadLag     time.Duration // age of what /load says
+}
+
+// Run is one line of the journal: work that was started.
+type Run struct {
+	Key    string `json:"key"` // Idempotency-Key of the request
+	Method string `json:"method"`
+	Path   string `json:"path"`
+}
+
+// Server is a running backend server.
+type Server struct {
+	cfg   Config
+	ln    net.Listener
+	http  *http.Server
+	slots chan struct{}
+	conns atomic.Int64
+	work  atomic.Int64 // nanoseconds
+	shed  atomic.Bool
+	stall atomic.Bool
+
+	mu      sync.Mutex
+	journal []Run
+	load    []loadSample
+}
+
+// loadSample is the number of busy slots at a time.
+type loadSample struct {
+	at   time.Time
+	busy int
+}
+
+// Start opens a backend server.
+func Start(cfg Config) (*Server, error) {
+	ln, err := net.Listen("tcp4", cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{cfg: cfg, ln: ln, slots: make(chan struct{}, cfg.Slots)}
+	s.SetWork(cfg.Work)
+	s.http = &http.Server{Handler: s.handler(), ConnState: s.connState}
+	go s.http.Serve(ln)
+	return s, nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Close ends the server and its connections.
+func (s *Server) Close() { s.http.Close() }
+
+// SetWork changes how long a short request takes.
+func (s *Server) SetWork(d time.Duration) { s.work.Store(int64(d)) }
+
+// SetShed makes the server answer every short request with 503.
+func (s *Server) SetShed(on bool) { s.shed.Store(on) }
+
+// SetStall makes the server run short requests and never answer them.
+func (s *Server) SetStall(on bool) { s.stall.Store(on) }
+
+// Journal returns the work that was started, oldest first.
+func (s *Server) Journal() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.journal...)
+}
+
+func (s *Server) connState(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.conns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.conns.Add(-1)
+	}
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /card/{id}", s.slot(s.card))
+	mux.HandleFunc("POST /reserve", s.slot(s.reserve))
+	mux.HandleFunc("GET /feed", s.feed)
+	mux.HandleFunc("GET /download", s.download)
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /load", s.serveLoad)
+	mux.HandleFunc("GET /journal", s.serveJournal)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Backend-Server", s.cfg.Name)
+		w.Header().Set("Backend-Service", s.cfg.Service)
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// slot runs h in a slot, or answers 503 when none is free.
+func (s *Server) slot(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case s.slots <- struct{}{}:
+		default:
+			s.refuse(w)
+			return
+		}
+		s.sample()
+		defer func() {
+			<-s.slots
+			s.sample()
+		}()
+		if s.shed.Load() {
+			s.refuse(w)
+			return
+		}
+		h(w, r)
+	}
+}
+
+func (s *Server) refuse(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, "no free slot", http.StatusServiceUnavailable)
+}
+
+func (s *Server) spend(r *http.Request) {
+	if s.stall.Load() {
+		<-r.Context().Done()
+		return
+	}
+	select {
+	case <-time.After(time.Duration(s.work.Load())):
+	case <-r.Context().Done():
+	}
+}
+
+func (s *Server) card(w http.ResponseWriter, r *http.Request) {
+	s.spend(r)
+	io.WriteString(w, content.Card(s.cfg.Service, r.PathValue("id")))
+}
+
+func (s *Server) reserve(w http.ResponseWriter, r *http.Request) {
+	key := r.Header.Get("Idempotency-Key")
+	s.mu.Lock()
+	s.journal = append(s.journal, Run{Key: key, Method: r.Method, Path: r.URL.Path})
+	s.mu.Unlock()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.spend(r)
+	w.WriteHeader(http.StatusCreated)
+	fmt.Fprintf(w, "%s reserved %s for %s\n", s.cfg.Service, body, key)
+}
+
+func (s *Server) feed(w http.ResponseWriter, r *http.Request) {
+	events, seed := number(r, "events"), number(r, "seed")
+	interval := time.Duration(number(r, "interval_ms")) * time.Millisecond
+	w.Header().Set("Content-Type", "text/event-stream")
+	tick := time.NewTicker(max(interval, time.Millisecond))
+	defer tick.Stop()
+	for n := range int(events) {
+		io.WriteString(w, content.Event(s.cfg.Service, seed, n))
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) download(w http.ResponseWriter, r *http.Request) {
+	size, seed := number(r, "bytes"), number(r, "seed")
+	w.Header().Set("Content-Length", strconv.FormatUint(size, 10))
+	io.CopyN(w, content.New(s.cfg.Service, seed), int64(size))
+}
+
+func number(r *http.Request, name string) uint64 {
+	n, _ := strconv.ParseUint(r.URL.Query().Get(name), 10, 63)
+	return n
+}
+
+// sample remembers the busy slots for /load.
+func (s *Server) sample() {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load = append(s.load, loadSample{at: now, busy: len(s.slots)})
+	for len(s.load) > 1 && now.Sub(s.load[1].at) > s.cfg.LoadLag {
+		s.load = s.load[1:]
+	}
+}
+
+func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	busy := 0
+	if len(s.load) > 0 {
+		busy = s.load[0].busy
+	}
+	s.mu.Unlock()
+	json.NewEncoder(w).Encode(map[string]int64{"busy": int64(busy), "slots": int64(s.cfg.Slots), "connections": s.conns.Load()})
+}
+
+func (s *Server) serveJournal(w http.ResponseWriter, _ *http.Request) {
+	json.NewEncoder(w).Encode(s.Journal())
+}
--- /dev/null
+++ b/internal/standin/caller/caller.go
@@ -0,0 +1,239 @@
+// Package caller stands in for callers: ordinary HTTP/3 clients that check
+// every byte of what they receive.
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/hemlockscale/hemlockscale/internal/standin/content"
+)
+
+// Config is the settings of a caller.
+type Config struct {
+	Address netip.AddrPort // service address and the fabric's port
+	Service string         // name on the certificate and in the answers
+	Roots   *x509.CertPool
+	Idle    time.Duration // after how much silence a connection is given up; default 30 s
+}
+
+// Caller is one caller with one connection at a time.
+type Caller struct {
+	cfg       Config
+	socket    *net.UDPConn
+	quic      *quic.Transport
+	transport *http3.Transport
+}
+
+// Error tells what a caller saw that it must not see.
+type Error struct {
+	Kind   ErrorKind
+	Detail string
+}
+
+// ErrorKind sorts what went wrong.
+type ErrorKind string
+
+// The kinds of error. Wrong and Cut must never happen; a Broken flow ended
+// visibly before its end.
+const (
+	Wrong  ErrorKind = "wrong answer"
+	Cut    ErrorKind = "cut answer that looked whole"
+	Broken ErrorKind = "broken flow"
+)
+
+func (e *Error) Error() string { return string(e.Kind) + ": " + e.Detail }
+
+const defaultIdle = 30 * time.Second
+
+// New returns a caller; it connects with its first request.
+func New(cfg Config) (*Caller, error) {
+	if cfg.Idle == 0 {
+		cfg.Idle = defaultIdle
+	}
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	c := &Caller{cfg: cfg, socket: socket, quic: &quic.Transport{Conn: socket}}
+	c.transport = &http3.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: cfg.Roots, ServerName: cfg.Service, NextProtos: []string{http3.NextProtoH3}},
+		QUICConfig:      &quic.Config{MaxIdleTimeout: cfg.Idle, KeepAlivePeriod: cfg.Idle / 4, HandshakeIdleTimeout: cfg.Idle / 3},
+		Dial:            c.dial,
+	}
+	return c, nil
+}
+
+func (c *Caller) dial(ctx context.Context, _ string, t *tls.Config, q *quic.Config) (*quic.Conn, error) {
+	return c.quic.DialEarly(ctx, net.UDPAddrFromAddrPort(c.cfg.Address), t, q)
+}
+
+// Close ends the caller's connection.
+func (c *Caller) Close() {
+	c.transport.Close()
+	c.quic.Close()
+	c.socket.Close()
+}
+
+// Answer is what came back for one request.
+type Answer struct {
+	Status     int
+	Header     http.Header
+	Body       []byte
+	Server     string // backend server that answered
+	Outcome    string // header Hemlock-Outcome, empty if the request ran
+	RetryAfter string
+}
+
+// Do sends one request and returns its whole answer.
+func (c *Caller) Do(ctx context.Context, method, path string, header http.Header, body []byte) (*Answer, error) {
+	resp, err := c.open(ctx, method, path, header, body)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, &Error{Kind: Broken, Detail: err.Error()}
+	}
+	return &Answer{
+		Status:     resp.StatusCode,
+		Header:     resp.Header,
+		Body:       got,
+		Server:     resp.Header.Get("Backend-Server"),
+		Outcome:    resp.Header.Get("Hemlock-Outcome"),
+		RetryAfter: resp.Header.Get("Retry-After"),
+	}, nil
+}
+
+func (c *Caller) open(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	var r io.Reader
+	if body != nil {
+		r = bytes.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "https://"+c.cfg.Service+path, r)
+	if err != nil {
+		return nil, err
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return nil, &Error{Kind: Broken, Detail: err.Error()}
+	}
+	if s := resp.Header.Get("Backend-Service"); s != "" && s != c.cfg.Service {
+		resp.Body.Close()
+		return nil, &Error{Kind: Wrong, Detail: fmt.Sprintf("asked %s, answered by %s", c.cfg.Service, s)}
+	}
+	return resp, nil
+}
+
+// Card asks for a short answer and checks it.
+func (c *Caller) Card(ctx context.Context, id string) (*Answer, error) {
+	a, err := c.Do(ctx, http.MethodGet, "/card/"+id, nil, nil)
+	if err != nil || a.Status != http.StatusOK {
+		return a, err
+	}
+	if want := content.Card(c.cfg.Service, id); string(a.Body) != want {
+		return a, &Error{Kind: Wrong, Detail: fmt.Sprintf("card %s: %q", id, a.Body)}
+	}
+	return a, nil
+}
+
+// Reserve sends one non-idempotent request under a key.
+func (c *Caller) Reserve(ctx context.Context, key, item string) (*Answer, error) {
+	header := http.Header{"Idempotency-Key": {key}}
+	a, err := c.Do(ctx, http.MethodPost, "/reserve", header, []byte(item))
+	if err != nil || a.Status != http.StatusCreated {
+		return a, err
+	}
+	if !strings.Contains(string(a.Body), item+" for "+key) {
+		return a, &Error{Kind: Wrong, Detail: fmt.Sprintf("reservation %s: %q", key, a.Body)}
+	}
+	return a, nil
+}
+
+// Download fetches size bytes and checks each. progress, if not nil, is told
+// the bytes received so far.
+func (c *Caller) Download(ctx context.Context, size, seed uint64, progress func(uint64)) (server string, err error) {
+	resp, err := c.open(ctx, http.MethodGet, fmt.Sprintf("/download?bytes=%d&seed=%d", size, seed), nil, nil)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return "", &Error{Kind: Broken, Detail: resp.Status}
+	}
+	return resp.Header.Get("Backend-Server"), c.checkBody(resp.Body, size, seed, progress)
+}
+
+func (c *Caller) checkBody(body io.Reader, size, seed uint64, progress func(uint64)) error {
+	want := content.New(c.cfg.Service, seed)
+	got, expected := make([]byte, 32<<10), make([]byte, 32<<10)
+	var total uint64
+	for {
+		n, err := body.Read(got)
+		want.Read(expected[:n])
+		if !bytes.Equal(got[:n], expected[:n]) {
+			return &Error{Kind: Wrong, Detail: fmt.Sprintf("download differs after %d bytes", total)}
+		}
+		total += uint64(n)
+		if progress != nil {
+			progress(total)
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return &Error{Kind: Broken, Detail: fmt.Sprintf("after %d bytes: %v", total, err)}
+		}
+	}
+	if total != size {
+		return &Error{Kind: Cut, Detail: fmt.Sprintf("%d of %d bytes", total, size)}
+	}
+	return nil
+}
+
+// Feed reads a feed of events to its end and checks each. progress, if not
+// nil, is told the number of events received so far.
+func (c *Caller) Feed(ctx context.Context, events int, interval time.Duration, seed uint64, progress func(int)) (server string, err error) {
+	path := fmt.Sprintf("/feed?events=%d&interval_ms=%d&seed=%d", events, interval.Milliseconds(), seed)
+	header := http.Header{"Accept": {"text/event-stream"}}
+	resp, err := c.open(ctx, http.MethodGet, path, header, nil)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return "", &Error{Kind: Broken, Detail: resp.Status}
+	}
+	server = resp.Header.Get("Backend-Server")
+	lines := bufio.NewReader(resp.Body)
+	for n := range events {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			return server, &Error{Kind: Broken, Detail: fmt.Sprintf("feed ended after %d of %d events: %v", n, events, err)}
+		}
+		if line != content.Event(c.cfg.Service, seed, n) {
+			return server, &Error{Kind: Wrong, Detail: fmt.Sprintf("event %d: %q", n, line)}
+		}
+		if progress != nil {
+			progress(n + 1)
+		}
+	}
+	return server, nil
+}
--- /dev/null
+++ b/internal/standin/fabric/fabric.go
@@ -0,0 +1,235 @@
+// Package fabric stands in for the platform's network fabric: it takes
+// callers' datagrams to service addresses and hands each to a balancer chosen
+// at random. It can lose, duplicate, delay and cut.
+package fabric
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hemlockscale/hemlockscale/internal/udp"
+)
+
+// Faults is what goes wrong in the fabric. The zero value is a sound fabric.
+type Faults struct {
+	Loss      float64       // share of datagrams lost, each way
+	Duplicate float64       // share of datagrams sent twice
+	Reorder   float64       // share of datagrams held back by Hold
+	Hold      time.Duration // how long a reordered datagram is held back
+	Delay     time.Duration // added to every datagram, each way
+	// CutTo and CutFrom list balancer ports whose datagrams are lost towards
+	// and from the balancer.
+	CutTo, CutFrom []uint16
+}
+
+// Counts is what the fabric carried.
+type Counts struct {
+	ToBalancers, ToCallers, Lost uint64
+}
+
+// Config is the settings of a fabric.
+type Config struct {
+	Listen    netip.AddrPort // wildcard address and port that callers send to
+	Balancers []uint16       // balancers' service ports
+	Seed      uint64
+}
+
+// Fabric is a running fabric.
+type Fabric struct {
+	public    *udp.Conn
+	balancers atomic.Pointer[[]uint16]
+	faults    atomic.Pointer[Faults]
+	writers   sync.Pool // of *udp.Writer to public
+	wg        sync.WaitGroup
+
+	mu       sync.Mutex // guards the fields below
+	rng      *rand.Rand
+	sessions map[sessionKey]*session
+	closed   bool
+	counts   Counts
+}
+
+// sessionKey is one caller socket at one service address.
+type sessionKey struct {
+	caller  netip.AddrPort
+	service [4]byte
+}
+
+// session carries one caller: the socket's address is what balancers see as
+// the caller's.
+type session struct {
+	key    sessionKey
+	socket *net.UDPConn
+}
+
+// Start opens a fabric.
+func Start(cfg Config) (*Fabric, error) {
+	c, err := udp.Listen(cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fabric{
+		public:   c,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 0)),
+		sessions: make(map[sessionKey]*session),
+	}
+	f.writers.New = func() any { return udp.NewWriter(c) }
+	f.SetBalancers(cfg.Balancers)
+	f.SetFaults(Faults{})
+	f.wg.Go(f.fromCallers)
+	return f, nil
+}
+
+// Port returns the port that callers send to.
+func (f *Fabric) Port() uint16 { return f.public.LocalAddr().Port() }
+
+// SetBalancers replaces the balancers that datagrams are handed to.
+func (f *Fabric) SetBalancers(ports []uint16) {
+	ports = append([]uint16(nil), ports...)
+	f.balancers.Store(&ports)
+}
+
+// SetFaults replaces what goes wrong.
+func (f *Fabric) SetFaults(x Faults) { f.faults.Store(&x) }
+
+// Counts returns what was carried so far.
+func (f *Fabric) Counts() Counts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.counts
+}
+
+// Close ends the fabric and waits for its goroutines.
+func (f *Fabric) Close() {
+	f.public.Close()
+	f.mu.Lock()
+	f.closed = true
+	for _, s := range f.sessions {
+		s.socket.Close()
+	}
+	f.mu.Unlock()
+	f.wg.Wait()
+}
+
+func (f *Fabric) fromCallers() {
+	r := udp.NewReader(f.public)
+	for {
+		n, err := r.Read()
+		if err != nil {
+			return
+		}
+		for i := range n {
+			service, ok := r.Destination(i)
+			if !ok {
+				continue
+			}
+			s := f.session(sessionKey{caller: r.Source(i), service: service})
+			if s != nil {
+				f.toBalancer(s, r.Datagram(i))
+			}
+		}
+	}
+}
+
+func (f *Fabric) session(k sessionKey) *session {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.sessions[k]; s != nil {
+		return s
+	}
+	if f.closed {
+		return nil
+	}
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil
+	}
+	s := &session{key: k, socket: socket}
+	f.sessions[k] = s
+	f.wg.Go(func() { f.fromBalancers(s) })
+	return s
+}
+
+func (f *Fabric) toBalancer(s *session, b []byte) {
+	ports := *f.balancers.Load()
+	if len(ports) == 0 {
+		return
+	}
+	faults := f.faults.Load()
+	f.mu.Lock()
+	port := ports[f.rng.IntN(len(ports))]
+	plan := f.plan(faults, faults.CutTo, port)
+	f.counts.ToBalancers++
+	f.mu.Unlock()
+	to := netip.AddrPortFrom(netip.AddrFrom4(s.key.service), port)
+	plan.run(b, func(b []byte) { s.socket.WriteToUDPAddrPort(b, to) })
+}
+
+func (f *Fabric) fromBalancers(s *session) {
+	b := make([]byte, udp.MaxDatagram)
+	for {
+		n, from, err := s.socket.ReadFromUDPAddrPort(b)
+		if err != nil {
+			return
+		}
+		faults := f.faults.Load()
+		f.mu.Lock()
+		plan := f.plan(faults, faults.CutFrom, from.Port())
+		f.counts.ToCallers++
+		f.mu.Unlock()
+		plan.run(b[:n], func(b []byte) { f.answer(s, b) })
+	}
+}
+
+// answer sends b to the session's caller from the service address.
+func (f *Fabric) answer(s *session, b []byte) {
+	w := f.writers.Get().(*udp.Writer)
+	defer f.writers.Put(w)
+	w.Add(b, s.key.caller, netip.AddrFrom4(s.key.service))
+	w.Flush()
+}
+
+// delivery is what happens to one datagram.
+type delivery struct {
+	copies int
+	after  time.Duration
+}
+
+// plan decides the fate of a datagram. f.mu is held.
+func (f *Fabric) plan(x *Faults, cut []uint16, port uint16) delivery {
+	for _, p := range cut {
+		if p == port {
+			f.counts.Lost++
+			return delivery{}
+		}
+	}
+	if x.Loss > 0 && f.rng.Float64() < x.Loss {
+		f.counts.Lost++
+		return delivery{}
+	}
+	d := delivery{copies: 1, after: x.Delay}
+	if x.Duplicate > 0 && f.rng.Float64() < x.Duplicate {
+		d.copies = 2
+	}
+	if x.Reorder > 0 && f.rng.Float64() < x.Reorder {
+		d.after += x.Hold
+	}
+	return d
+}
+
+func (d delivery) run(b []byte, send func([]byte)) {
+	if d.after == 0 {
+		for range d.copies {
+			send(b)
+		}
+		return
+	}
+	held := append([]byte(nil), b...)
+	for range d.copies {
+		time.AfterFunc(d.after, func() { send(held) })
+	}
+}
