Admit, queue and refuse requests at one agent

Cause: an agent has 5 slots and about 2,000 connections on its backend server and must decide at once what runs, what waits and what is refused.

Change: package admission, a pure state machine. Controller takes Offer, Opened, Done, Cancel, Tick, Drain, SetBackend, OpenConn and CloseConn and answers with a Decision or Effects. Waiting requests start by least weighted slot time of their owner; a full queue takes its place from the owner that waits with most; a request that can't meet its deadline is refused when that is known. Long flows hold a slot until their header came, then a place of their own bound. Budget bounds attempts to 1.1 times the offered ones.

--- /dev/null
+++ b/admission/controller_test.go
@@ -0,0 +1,248 @@
+package admission
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/hemlockscale/hemlockscale/catalogue"
+	"pgregory.net/rapid"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+func request(id uint64, owner string) Request { return Request{ID: id, Owner: owner} }
+
+func want(t *testing.T, d Decision, v Verdict, r Reason) {
+	t.Helper()
+	if d.Verdict != v || d.Refusal.Reason != r {
+		t.Fatalf("got %v %v, want %v %v", d.Verdict, d.Refusal.Reason, v, r)
+	}
+}
+
+func TestSlotsThenQueueThenRefusal(t *testing.T) {
+	c := New(t0, Config{Slots: 2, Queue: 1})
+	want(t, c.Offer(t0, request(1, "a")), Admitted, 0)
+	want(t, c.Offer(t0, request(2, "a")), Admitted, 0)
+	want(t, c.Offer(t0, request(3, "a")), Queued, 0)
+	d := c.Offer(t0, request(4, "a"))
+	want(t, d, Refused, ReasonQueueFull)
+	if d.Refusal.RetryAfter <= 0 {
+		t.Fatalf("no come-back time in %v", d.Refusal)
+	}
+	c.Done(t0.Add(time.Millisecond), 1, Result{Outcome: OK})
+	got := c.Effects(nil)
+	if len(got) != 1 || got[0].Kind != Start || got[0].ID != 3 {
+		t.Fatalf("effects %v, want start of 3", got)
+	}
+}
+
+func TestDrainRefusesNewAndFinishesOpen(t *testing.T) {
+	c := New(t0, Config{Slots: 1})
+	c.Offer(t0, request(1, "a"))
+	c.Offer(t0, request(2, "a"))
+	c.Drain()
+	want(t, c.Offer(t0, request(3, "a")), Refused, ReasonDraining)
+	c.Done(t0, 1, Result{Outcome: OK})
+	if got := c.Effects(nil); len(got) != 1 || got[0].Kind != Start {
+		t.Fatalf("effects %v, want the waiting request started", got)
+	}
+}
+
+func TestBackendLostRefusesWaiting(t *testing.T) {
+	c := New(t0, Config{Slots: 1})
+	c.Offer(t0, request(1, "a"))
+	c.Offer(t0, request(2, "a"))
+	c.SetBackend(t0, false)
+	got := c.Effects(nil)
+	if len(got) != 1 || got[0].Kind != Refuse || got[0].Refusal.Reason != ReasonNoBackend {
+		t.Fatalf("effects %v, want a refusal", got)
+	}
+	want(t, c.Offer(t0, request(3, "a")), Refused, ReasonNoBackend)
+}
+
+// Symptom: a caller hears of its refusal only when its deadline is near.
+// Sequence: two requests wait; the first is at work for longer than expected.
+// Cause: the deadline is checked only when the request would start.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	c := New(t0, Config{Slots: 1, ServiceTime: 100 * time.Millisecond})
+	c.Offer(t0, request(1, "a"))
+	c.Offer(t0, request(2, "a"))
+	r := request(3, "a")
+	r.Deadline = t0.Add(250 * time.Millisecond)
+	want(t, c.Offer(t0, r), Refused, ReasonDeadline)
+
+	r.Deadline = t0.Add(450 * time.Millisecond)
+	want(t, c.Offer(t0, r), Queued, 0)
+	c.Tick(t0.Add(200 * time.Millisecond))
+	got := c.Effects(nil)
+	if len(got) != 1 || got[0].ID != 3 || got[0].Refusal.Reason != ReasonDeadline {
+		t.Fatalf("effects %v, want a refusal of 3", got)
+	}
+}
+
+// Symptom: after a slow phase every request with a deadline is refused for good.
+// Sequence: requests take 10 s, then callers come with 1 s deadlines.
+// Cause: the estimate says 10 s, nothing is started, so nothing corrects it.
+func TestStaleEstimateIsCorrected(t *testing.T) {
+	c := New(t0, Config{Slots: 1})
+	c.Offer(t0, request(1, "a"))
+	now := t0.Add(10 * time.Second)
+	c.Done(now, 1, Result{Outcome: OK})
+	r := request(2, "a")
+	r.Deadline = now.Add(time.Second)
+	want(t, c.Offer(now, r), Admitted, 0)
+}
+
+func TestOwnerOverItsShareIsEvicted(t *testing.T) {
+	c := New(t0, Config{Slots: 1, Queue: 4})
+	for id := uint64(1); id <= 5; id++ {
+		c.Offer(t0, request(id, "greedy"))
+	}
+	want(t, c.Offer(t0, request(6, "greedy")), Refused, ReasonQueueFull)
+	want(t, c.Offer(t0, request(7, "modest")), Queued, 0)
+	got := c.Effects(nil)
+	if len(got) != 1 || got[0].ID != 5 || got[0].Refusal.Reason != ReasonQueueFull {
+		t.Fatalf("effects %v, want greedy's newest refused", got)
+	}
+	c.Done(t0.Add(time.Millisecond), 1, Result{Outcome: OK})
+	got = c.Effects(nil)
+	if len(got) != 1 || got[0].ID != 7 {
+		t.Fatalf("effects %v, want modest's request started first", got)
+	}
+}
+
+func TestOpenFeedsLeaveSlotsToShortRequests(t *testing.T) {
+	c := New(t0, Config{Slots: 2, LongFlows: 20})
+	for id := uint64(1); id <= 10; id++ {
+		want(t, c.Offer(t0, Request{ID: id, Owner: "a", Class: catalogue.ClassStream}), Admitted, 0)
+		c.Opened(t0, id)
+	}
+	want(t, c.Offer(t0, request(11, "a")), Admitted, 0)
+	want(t, c.Offer(t0, request(12, "a")), Admitted, 0)
+	if l := c.Load(t0); l.LongFlows != 10 || l.Slots != 2 {
+		t.Fatalf("load %+v", l)
+	}
+}
+
+// Symptom: short requests wait while many feeds are opened at once.
+// Sequence: every feed of a backend server comes back after a restart.
+// Cause: opening feeds hold every slot.
+func TestOpeningFeedsLeaveASlot(t *testing.T) {
+	c := New(t0, Config{Slots: 3})
+	for id := uint64(1); id <= 5; id++ {
+		c.Offer(t0, Request{ID: id, Owner: "a", Class: catalogue.ClassStream})
+	}
+	if l := c.Load(t0); l.Slots != 2 || l.Queued != 3 {
+		t.Fatalf("load %+v, want 2 feeds opening and 3 waiting", l)
+	}
+	want(t, c.Offer(t0, request(6, "a")), Admitted, 0)
+}
+
+func TestLongFlowsOfOneOwnerLeaveRoom(t *testing.T) {
+	c := New(t0, Config{Slots: 2, LongFlows: 18})
+	id := uint64(0)
+	open := func(owner string) Decision {
+		id++
+		d := c.Offer(t0, Request{ID: id, Owner: owner, Class: catalogue.ClassDownload})
+		c.Opened(t0, id)
+		return d
+	}
+	for range 16 {
+		want(t, open("greedy"), Admitted, 0)
+	}
+	want(t, open("greedy"), Refused, ReasonLimit)
+	want(t, open("modest"), Admitted, 0)
+}
+
+func TestShedPausesAndRecovers(t *testing.T) {
+	c := New(t0, Config{Slots: 4})
+	for id := uint64(1); id <= 4; id++ {
+		c.Offer(t0, request(id, "a"))
+	}
+	c.Done(t0.Add(time.Millisecond), 1, Result{Outcome: Shed, RetryAfter: time.Second})
+	if l := c.Load(t0); l.Limit != 2 {
+		t.Fatalf("limit %d after shedding, want 2", l.Limit)
+	}
+	r := request(5, "a")
+	r.Deadline = t0.Add(500 * time.Millisecond)
+	want(t, c.Offer(t0.Add(2*time.Millisecond), r), Refused, ReasonShed)
+	now := t0.Add(2 * time.Second)
+	for id := uint64(2); id <= 4; id++ {
+		c.Done(now, id, Result{Outcome: OK})
+	}
+	for id := uint64(10); id < 200; id++ {
+		c.Offer(now, request(id, "a"))
+		now = now.Add(time.Millisecond)
+	}
+	for id := uint64(10); id < 200; id++ {
+		now = now.Add(time.Millisecond)
+		c.Done(now, id, Result{Outcome: OK})
+	}
+	if l := c.Load(now); l.Limit != 4 {
+		t.Fatalf("limit %d, want 4 again", l.Limit)
+	}
+}
+
+func TestWarmupRamp(t *testing.T) {
+	c := New(t0, Config{Slots: 5, Warmup: 10 * time.Second})
+	for at, limit := range map[time.Duration]int{0: 1, 4 * time.Second: 3, 10 * time.Second: 5} {
+		if got := c.Load(t0.Add(at)).Limit; got != limit {
+			t.Errorf("limit %d after %v, want %d", got, at, limit)
+		}
+	}
+}
+
+func TestRateOfOwner(t *testing.T) {
+	c := New(t0, Config{Owners: map[string]OwnerLimits{"a": {Rate: 2}}, Queue: 100})
+	c.Offer(t0, request(1, "a"))
+	c.Offer(t0, request(2, "a"))
+	want(t, c.Offer(t0, request(3, "a")), Refused, ReasonLimit)
+	want(t, c.Offer(t0, request(4, "b")), Admitted, 0)
+	want(t, c.Offer(t0.Add(time.Second), request(5, "a")), Admitted, 0)
+}
+
+func TestConnectionsBounded(t *testing.T) {
+	c := New(t0, Config{Connections: 9})
+	for range 8 {
+		if _, ok := c.OpenConn(t0, "a"); !ok {
+			t.Fatal("connection refused")
+		}
+	}
+	if r, ok := c.OpenConn(t0, "a"); ok || r.Reason != ReasonLimit {
+		t.Fatalf("ninth of one owner: %v %v", r, ok)
+	}
+	if _, ok := c.OpenConn(t0, "b"); !ok {
+		t.Fatal("no room left for another owner")
+	}
+}
+
+func TestRefusalNamesRemedy(t *testing.T) {
+	var err error = Refusal{Reason: ReasonDraining, RetryAfter: 1500 * time.Millisecond}
+	var r Refusal
+	if !errors.As(err, &r) || r.Seconds() != 2 || err.Error() == "" {
+		t.Fatalf("%v", err)
+	}
+}
+
+// Symptom: more attempts than the backend servers can bear while all fail.
+// Sequence: every attempt fails and every caller's request is retried.
+// Cause: retries aren't bounded by what is offered.
+func TestBudgetBoundsAttempts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Budget
+		offered, attempts := 0, 0
+		for _, isNew := range rapid.SliceOfN(rapid.Bool(), 1, 500).Draw(t, "new") {
+			if isNew {
+				b.Offered()
+				offered++
+				attempts++
+			} else if b.Retry(t0, Request{Idempotent: true}, 0) {
+				attempts++
+			}
+			if float64(attempts) > 1.1*float64(offered) {
+				t.Fatalf("%d attempts of %d offered", attempts, offered)
+			}
+		}
+	})
+}
