--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,241 @@
+// Package agent is the process beside a backend server. It ends QUIC and TLS
+// for its service, holds all state of its flows, decides about every request,
+// and is the only one that starts work on the backend server.
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"go.uber.org/zap"
+
+	"github.com/hemlockscale/hemlockscale/admission"
+	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/connid"
+	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+	"github.com/hemlockscale/hemlockscale/internal/udp"
+	"github.com/hemlockscale/hemlockscale/placement"
+)
+
+const (
+	// idleTimeout ends a connection that was silent for so long.
+	idleTimeout = 30 * time.Second
+	// keepAlive keeps an open flow alive through pauses of its content.
+	keepAlive = 10 * time.Second
+	// packetSize is the size of QUIC packets in bytes. With the forwarding
+	// header and the UDP and IP headers it stays below 1,500.
+	packetSize = 1350
+	// streamsPerConnection bounds the requests that one connection has open.
+	streamsPerConnection = 256
+	// leaveNotice is how long an agent that leaves goes on taking requests,
+	// so that balancers hear of it before it refuses any.
+	leaveNotice = time.Second
+)
+
+// Config is the settings of an agent.
+type Config struct {
+	Internal    netip.AddrPort // IPv4 address of the internal socket, as balancers reach it
+	Service     string
+	Zone        string // availability zone
+	Region      string
+	Backend     *url.URL
+	Certificate tls.Certificate
+	Keys        fleetkey.Ring
+	Seeds       []netip.AddrPort // balancers to announce to at first
+	Ramp        placement.Ramp   // cold start of the backend server
+}
+
+// Agent is one agent. Its lifecycle is New, Run, Drain, Close.
+type Agent struct {
+	cfg     Config
+	log     *zap.Logger
+	socket  *udp.Conn
+	conn    *packetConn
+	quic    *quic.Transport
+	http    *http3.Server
+	ln      *quic.EarlyListener
+	gate    *gate
+	backend *backend
+	entry   atomic.Pointer[catalogue.Entry]
+	metrics *metrics
+	flows   *flows
+	control *control
+
+	ctx       context.Context
+	cancel    context.CancelFunc
+	closeOnce sync.Once
+}
+
+// New checks the settings and opens the agent's socket.
+func New(cfg Config, log *zap.Logger, reg prometheus.Registerer) (*Agent, error) {
+	socket, err := udp.Listen(cfg.Internal)
+	if err != nil {
+		return nil, err
+	}
+	cfg.Internal = socket.LocalAddr()
+	a := &Agent{
+		cfg:     cfg,
+		log:     log.With(zap.String("service", cfg.Service), zap.Stringer("addr", cfg.Internal)),
+		socket:  socket,
+		gate:    newGate(admission.FromLimits(catalogue.Limits{}, newRand())),
+		backend: newBackend(cfg.Backend),
+		metrics: newMetrics(reg),
+	}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.flows = newFlows(a.gate)
+	if err := a.open(); err != nil {
+		socket.Close()
+		return nil, err
+	}
+	if a.control, err = newControl(a); err != nil {
+		a.Close()
+		return nil, err
+	}
+	return a, nil
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// open builds QUIC and HTTP/3 over the internal socket.
+func (a *Agent) open() error {
+	ids, err := a.cfg.Keys.ConnIDs()
+	if err != nil {
+		return err
+	}
+	if a.conn, err = newPacketConn(a.cfg.Keys, a.socket, a.flows, a.metrics); err != nil {
+		return err
+	}
+	reset := quic.StatelessResetKey(a.cfg.Keys[0].Derive("stateless reset", 32))
+	token := quic.TokenGeneratorKey(a.cfg.Keys[0].Derive("address token", 32))
+	a.quic = &quic.Transport{
+		Conn:                  a.conn,
+		ConnectionIDGenerator: &idGenerator{codec: ids, agent: a.cfg.Internal, service: &a.conn.service},
+		StatelessResetKey:     &reset,
+		TokenGeneratorKey:     &token,
+	}
+	// Sessions resumed by tickets are encrypted under the service's key only,
+	// and 0-RTT stays off: early data can be replayed, and a replayed request
+	// would run twice.
+	tlsConfig := http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{a.cfg.Certificate}})
+	a.ln, err = a.quic.ListenEarly(tlsConfig, &quic.Config{
+		MaxIdleTimeout:          idleTimeout,
+		KeepAlivePeriod:         keepAlive,
+		InitialPacketSize:       packetSize,
+		DisablePathMTUDiscovery: true,
+		MaxIncomingStreams:      streamsPerConnection,
+		Allow0RTT:               false,
+	})
+	if err != nil {
+		return err
+	}
+	a.http = &http3.Server{
+		Handler:     &handler{entry: &a.entry, gate: a.gate, backend: a.backend, metrics: a.metrics},
+		ConnContext: a.connContext,
+	}
+	return nil
+}
+
+// connContext counts a connection until its end.
+func (a *Agent) connContext(ctx context.Context, c *quic.Conn) context.Context {
+	name := c.RemoteAddr().String()
+	a.gate.do(func(g *admission.Controller, now time.Time) { g.OpenConn(now, name) })
+	a.metrics.connections.Inc()
+	context.AfterFunc(c.Context(), func() {
+		a.gate.do(func(g *admission.Controller, now time.Time) { g.CloseConn(now, name) })
+		a.metrics.connections.Dec()
+	})
+	return ctx
+}
+
+// setEntry puts the service's catalogue entry in force.
+func (a *Agent) setEntry(e *catalogue.Entry) {
+	old := a.entry.Swap(e)
+	if old != nil && old.Version == e.Version {
+		return
+	}
+	a.gate.do(func(g *admission.Controller, now time.Time) {
+		g.Configure(now, admission.FromLimits(e.Limits, newRand()))
+	})
+	a.conn.service.Store(e.Number)
+	a.log.Info("catalogue entry in force", zap.Uint64("version", e.Version), zap.Uint32("number", e.Number))
+}
+
+// Run does the agent's duties until Close.
+func (a *Agent) Run() error {
+	var g run.Group
+	stop := func(error) { a.Close() }
+	g.Add(a.conn.receive, stop)
+	g.Add(a.serve, stop)
+	g.Add(func() error { a.gate.tick(a.ctx); return nil }, stop)
+	g.Add(func() error { a.control.run(a.ctx); return nil }, stop)
+	return g.Run()
+}
+
+func (a *Agent) serve() error {
+	err := a.http.ServeListener(a.ln)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) || errors.Is(err, quic.ErrServerClosed) {
+		<-a.ctx.Done()
+		return nil
+	}
+	return err
+}
+
+// Drain announces that the agent leaves, goes on for leaveNotice, then takes
+// no new work and waits until the open requests have ended.
+func (a *Agent) Drain(ctx context.Context) {
+	a.flows.leaving.Store(true)
+	a.control.leave()
+	select {
+	case <-time.After(leaveNotice):
+	case <-ctx.Done():
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a.http.Shutdown(ctx)
+	}()
+	a.gate.drain(ctx)
+	<-done
+}
+
+// Close ends the agent at once.
+func (a *Agent) Close() {
+	a.closeOnce.Do(func() {
+		a.cancel()
+		a.http.Close()
+		a.ln.Close()
+		a.conn.Close()
+		a.quic.Close()
+		a.socket.Close()
+		a.backend.close()
+	})
+}
+
+// idGenerator mints connection IDs that lead back to this agent.
+type idGenerator struct {
+	codec   *connid.Codec
+	agent   netip.AddrPort
+	service *atomic.Uint32
+}
+
+// GenerateConnectionID implements quic.ConnectionIDGenerator.
+func (g *idGenerator) GenerateConnectionID() (quic.ConnectionID, error) {
+	id := g.codec.Mint(connid.Target{Agent: g.agent, Service: g.service.Load()})
+	return quic.ConnectionIDFromBytes(id[:]), nil
+}
+
+// ConnectionIDLen implements quic.ConnectionIDGenerator.
+func (g *idGenerator) ConnectionIDLen() int { return connid.Len }
--- /dev/null
+++ b/internal/agent/gate.go
@@ -0,0 +1,154 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hemlockscale/hemlockscale/admission"
+)
+
+// gateTick is how often waiting requests are looked at again.
+const gateTick = 20 * time.Millisecond
+
+// gate lets goroutines wait for the decisions of an admission.Controller.
+type gate struct {
+	mu      sync.Mutex
+	ctrl    *admission.Controller
+	nextID  uint64
+	waiting map[uint64]chan admission.Effect
+	effects []admission.Effect
+	open    sync.WaitGroup // requests between enter and the end of their permit
+}
+
+func newGate(cfg admission.Config) *gate {
+	return &gate{
+		ctrl:    admission.New(time.Now(), cfg),
+		waiting: make(map[uint64]chan admission.Effect),
+	}
+}
+
+// permit is the right to start one request on the backend server.
+type permit struct {
+	gate *gate
+	id   uint64
+	once sync.Once
+}
+
+// opened tells that the answer's header came.
+func (p *permit) opened() {
+	p.gate.do(func(c *admission.Controller, now time.Time) { c.Opened(now, p.id) })
+}
+
+// done gives the permit back. Only the first call counts.
+func (p *permit) done(r admission.Result) {
+	p.once.Do(func() {
+		p.gate.do(func(c *admission.Controller, now time.Time) { c.Done(now, p.id, r) })
+		p.gate.open.Done()
+	})
+}
+
+// enter waits until r may start. A *admission.Refusal means that it was not
+// and will not be run; so does an error of ctx.
+func (g *gate) enter(ctx context.Context, r admission.Request) (*permit, error) {
+	g.mu.Lock()
+	g.nextID++
+	r.ID = g.nextID
+	g.open.Add(1)
+	d := g.ctrl.Offer(time.Now(), r)
+	var wait chan admission.Effect
+	if d.Verdict == admission.Queued {
+		wait = make(chan admission.Effect, 1)
+		g.waiting[r.ID] = wait
+	}
+	g.deliver()
+	g.mu.Unlock()
+
+	switch d.Verdict {
+	case admission.Admitted:
+		return &permit{gate: g, id: r.ID}, nil
+	case admission.Refused:
+		g.open.Done()
+		return nil, d.Refusal
+	}
+	return g.await(ctx, r.ID, wait)
+}
+
+func (g *gate) await(ctx context.Context, id uint64, wait chan admission.Effect) (*permit, error) {
+	select {
+	case e := <-wait:
+		if e.Kind == admission.Refuse {
+			g.open.Done()
+			return nil, e.Refusal
+		}
+		return &permit{gate: g, id: id}, nil
+	case <-ctx.Done():
+	}
+	g.cancel(id)
+	return nil, ctx.Err()
+}
+
+// cancel takes back a waiting request. It may have been started in the
+// meantime: then its slot is given back, and nothing was sent.
+func (g *gate) cancel(id uint64) {
+	g.do(func(c *admission.Controller, now time.Time) {
+		delete(g.waiting, id)
+		if !c.Cancel(now, id) {
+			c.Done(now, id, admission.Result{Outcome: admission.Canceled})
+		}
+	})
+	g.open.Done()
+}
+
+// do runs f on the controller and delivers the decisions that follow.
+func (g *gate) do(f func(*admission.Controller, time.Time)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(g.ctrl, time.Now())
+	g.deliver()
+}
+
+func (g *gate) deliver() {
+	g.effects = g.ctrl.Effects(g.effects[:0])
+	for _, e := range g.effects {
+		if wait := g.waiting[e.ID]; wait != nil {
+			delete(g.waiting, e.ID)
+			wait <- e
+		}
+	}
+}
+
+// tick is the duty that lets waiting requests meet their deadlines.
+func (g *gate) tick(ctx context.Context) {
+	t := time.NewTicker(gateTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			g.do(func(c *admission.Controller, now time.Time) { c.Tick(now) })
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// load returns the current counts.
+func (g *gate) load() admission.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ctrl.Load(time.Now())
+}
+
+// drain refuses new requests and waits until the open ones have ended.
+func (g *gate) drain(ctx context.Context) {
+	g.do(func(c *admission.Controller, _ time.Time) { c.Drain() })
+	idle := make(chan struct{})
+	go func() {
+		g.open.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+}
