Store client, its stand-in, catalogue state and editor

Cause: nothing could read, check or edit a catalogue. Change: internal/store (get, compare-and-swap, delete, lease, watch over HTTP/1.1 and JSON), an in-memory stand-in with rates and faults, the catalogue as a chain of checksummed changes, and an Editor whose every edit is one compare-and-swap of one head key. Old pages of the layout need a Delete.

--- /dev/null
+++ b/catalogue/check.go
@@ -0,0 +1,157 @@
+package catalogue
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// Bounds of an entry. They keep every change below MaxDatagram.
+const (
+	MaxName        = 63             // bytes of a service, owner or editor
+	MaxAddresses   = 64             // of one entry
+	MaxConnections = 1_000_000      // of one agent
+	MaxSlots       = 100_000        // of one agent
+	MaxQueue       = 1_000_000      // of one agent
+	MaxRate        = 10_000_000     // requests a second
+	MaxDeadline    = 24 * time.Hour // of one request
+	MinDeadline    = time.Millisecond
+)
+
+// FieldError reports a field of an entry that breaks a rule.
+type FieldError struct {
+	Service string
+	Field   string
+	Value   string
+	Remedy  string
+}
+
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("catalogue: service %q: %s %q is not allowed; %s", e.Service, e.Field, e.Value, e.Remedy)
+}
+
+// ClashError reports an address that another entry holds.
+type ClashError struct {
+	Service string
+	Address netip.Addr
+	Holder  string // the service that holds it
+}
+
+func (e *ClashError) Error() string {
+	return fmt.Sprintf("catalogue: service %q: address %s belongs to service %q; use another address or remove it there in the same edit", e.Service, e.Address, e.Holder)
+}
+
+// OwnerError reports an edit of another owner's entry.
+type OwnerError struct {
+	Service string
+	Owner   string // who edits
+	Holder  string // who owns the entry
+}
+
+func (e *OwnerError) Error() string {
+	return fmt.Sprintf("catalogue: service %q belongs to owner %q, not %q; choose another service name or ask that owner to delete the entry", e.Service, e.Holder, e.Owner)
+}
+
+// MissingError reports a service without an entry.
+type MissingError struct{ Service string }
+
+func (e *MissingError) Error() string {
+	return fmt.Sprintf("catalogue: no entry for service %q; list the entries and correct the name", e.Service)
+}
+
+// DuplicateError reports a service that one edit names twice.
+type DuplicateError struct{ Service string }
+
+func (e *DuplicateError) Error() string {
+	return fmt.Sprintf("catalogue: service %q is named twice in one edit; keep one of the two", e.Service)
+}
+
+// Check returns a *FieldError for the first field that breaks a rule. It
+// cannot see clashes with other entries; Plan does.
+func (e Entry) Check() error {
+	if err := checkName(e.Service, "service", e.Service); err != nil {
+		return err
+	}
+	if err := checkName(e.Service, "owner", e.Owner); err != nil {
+		return err
+	}
+	if err := e.checkAddresses(); err != nil {
+		return err
+	}
+	switch e.Class {
+	case ClassInteractive, ClassStream, ClassDownload:
+	default:
+		return &FieldError{e.Service, "class", string(e.Class), fmt.Sprintf("use %s, %s or %s", ClassInteractive, ClassStream, ClassDownload)}
+	}
+	return e.Limits.check(e.Service)
+}
+
+func (e Entry) checkAddresses() error {
+	if len(e.Addresses) == 0 || len(e.Addresses) > MaxAddresses {
+		return &FieldError{e.Service, "addresses", fmt.Sprint(len(e.Addresses)), fmt.Sprintf("give 1 to %d addresses", MaxAddresses)}
+	}
+	seen := make(map[netip.Addr]bool, len(e.Addresses))
+	for _, a := range e.Addresses {
+		switch {
+		case !a.Is4():
+			return &FieldError{e.Service, "addresses", a.String(), "use an IPv4 address"}
+		case a.IsUnspecified() || a.IsMulticast() || a == netip.AddrFrom4([4]byte{255, 255, 255, 255}):
+			return &FieldError{e.Service, "addresses", a.String(), "use a unicast address"}
+		case seen[a]:
+			return &FieldError{e.Service, "addresses", a.String(), "name each address once"}
+		}
+		seen[a] = true
+	}
+	return nil
+}
+
+func (l Limits) check(service string) error {
+	counts := []struct {
+		field      string
+		value, max int
+	}{
+		{"limits.connections", l.Connections, MaxConnections},
+		{"limits.slots", l.Slots, MaxSlots},
+		{"limits.queue", l.Queue, MaxQueue},
+		{"limits.rate", l.Rate, MaxRate},
+	}
+	for _, c := range counts {
+		if c.value < 0 || c.value > c.max {
+			return &FieldError{service, c.field, fmt.Sprint(c.value), fmt.Sprintf("use 0 to %d", c.max)}
+		}
+	}
+	if l.Deadline != 0 && (l.Deadline < MinDeadline || l.Deadline > MaxDeadline) {
+		return &FieldError{service, "limits.deadline", l.Deadline.String(), fmt.Sprintf("use %s to %s, or leave it out", MinDeadline, MaxDeadline)}
+	}
+	return nil
+}
+
+// checkName allows lower-case letters, digits, dots and dashes, so that a
+// name fits a metric label, a file name and a key of the store.
+func checkName(service, field, name string) error {
+	ok := name != "" && len(name) <= MaxName && name[0] != '-' && name[0] != '.'
+	for i := 0; ok && i < len(name); i++ {
+		c := name[i]
+		ok = c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-' || c == '.'
+	}
+	if ok {
+		return nil
+	}
+	return &FieldError{service, field, name, fmt.Sprintf("use 1 to %d lower-case letters, digits, dots and dashes, beginning with a letter or digit", MaxName)}
+}
+
+// same reports whether an edit of e to f would change nothing.
+func (e Entry) same(f Entry) bool {
+	if e.Service != f.Service || e.Owner != f.Owner || e.Class != f.Class || e.Limits != f.Limits {
+		return false
+	}
+	if len(e.Addresses) != len(f.Addresses) {
+		return false
+	}
+	for i, a := range e.Addresses {
+		if a != f.Addresses[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/catalogue/snapshot.go
@@ -0,0 +1,122 @@
+package catalogue
+
+import (
+	"bufio"
+	"compress/flate"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// snapshotFormat changes when older processes cannot read the stream.
+const snapshotFormat = 1
+
+// Bounds that a reader accepts, so that a damaged stream cannot exhaust the
+// memory of a process.
+const (
+	maxSnapshotEntries = 4_000_000
+	maxSnapshotBytes   = 1 << 30
+)
+
+// SnapshotError reports a stream that cannot be read as a whole catalogue.
+type SnapshotError struct{ Err error }
+
+func (e *SnapshotError) Error() string {
+	return fmt.Sprintf("catalogue: snapshot: %v; fetch it again, from another peer if it repeats", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *SnapshotError) Unwrap() error { return e.Err }
+
+type snapshotHeader struct {
+	Format   uint     `cbor:"1,keyasint"`
+	Revision uint64   `cbor:"2,keyasint"`
+	Checksum Checksum `cbor:"3,keyasint"`
+	Next     uint32   `cbor:"4,keyasint"`
+	Entries  int      `cbor:"5,keyasint"`
+}
+
+// WriteSnapshot streams the whole state: a header, the entries by ascending
+// number and a hash over both, as CBOR items under DEFLATE. Equal states give
+// equal bytes.
+func (c *Catalogue) WriteSnapshot(w io.Writer) error {
+	z, err := flate.NewWriter(w, flate.BestSpeed)
+	if err != nil {
+		return err
+	}
+	buf := bufio.NewWriter(z)
+	hash := xxhash.New()
+	enc := encMode.NewEncoder(io.MultiWriter(buf, hash))
+	header := snapshotHeader{snapshotFormat, c.revision, c.checksum, c.next, len(c.entries)}
+	if err := enc.Encode(header); err != nil {
+		return err
+	}
+	for _, e := range c.Entries() {
+		if err := enc.Encode(e); err != nil {
+			return err
+		}
+	}
+	if err := encMode.NewEncoder(buf).Encode(hash.Sum64()); err != nil {
+		return err
+	}
+	if err := buf.Flush(); err != nil {
+		return err
+	}
+	return z.Close()
+}
+
+// ReadSnapshot reads what WriteSnapshot wrote. It returns a *SnapshotError
+// for a truncated, damaged or unknown stream.
+func ReadSnapshot(r io.Reader) (*Catalogue, error) {
+	z := flate.NewReader(r)
+	defer z.Close()
+	c, err := readSnapshot(cbor.NewDecoder(io.LimitReader(z, maxSnapshotBytes)))
+	if err != nil {
+		return nil, &SnapshotError{err}
+	}
+	return c, nil
+}
+
+func readSnapshot(dec *cbor.Decoder) (*Catalogue, error) {
+	hash := xxhash.New()
+	var h snapshotHeader
+	if err := next(dec, hash, &h); err != nil {
+		return nil, err
+	}
+	if h.Format != snapshotFormat {
+		return nil, fmt.Errorf("format %d is not %d", h.Format, snapshotFormat)
+	}
+	if h.Entries < 0 || h.Entries > maxSnapshotEntries {
+		return nil, fmt.Errorf("%d entries are over the bound", h.Entries)
+	}
+	c := New()
+	for range h.Entries {
+		var e Entry
+		if err := next(dec, hash, &e); err != nil {
+			return nil, err
+		}
+		c.put(e)
+	}
+	var sum uint64
+	if err := dec.Decode(&sum); err != nil {
+		return nil, err
+	}
+	if sum != hash.Sum64() {
+		return nil, errors.New("damaged")
+	}
+	c.revision, c.checksum, c.next = h.Revision, h.Checksum, max(c.next, h.Next)
+	return c, nil
+}
+
+// next decodes one item and hashes its bytes.
+func next(dec *cbor.Decoder, hash io.Writer, v any) error {
+	var raw cbor.RawMessage
+	if err := dec.Decode(&raw); err != nil {
+		return err
+	}
+	_, _ = hash.Write(raw)
+	return cbor.Unmarshal(raw, v)
+}
--- /dev/null
+++ b/cmd/hemlock-store/main.go
@@ -0,0 +1,94 @@
+// Command hemlock-store runs the stand-in of the platform's key-value service
+// for trials on one machine. It keeps values in memory only.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/peterbourgon/ff/v3"
+	"go.uber.org/zap"
+
+	"github.com/hemlockscale/hemlockscale/internal/standin/store"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// drain is how long a stop waits for calls in flight.
+const drain = 2 * time.Second
+
+func main() {
+	cfg, listen, err := settings(os.Args[1:])
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "hemlock-store:", err)
+		os.Exit(exitUsage)
+	}
+	if err := serve(cfg, listen); err != nil {
+		fmt.Fprintln(os.Stderr, "hemlock-store:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+func settings(args []string) (store.Config, string, error) {
+	var cfg store.Config
+	fs := flag.NewFlagSet("hemlock-store", flag.ContinueOnError)
+	listen := fs.String("listen", "127.0.0.1:7000", "TCP address to serve on")
+	fs.IntVar(&cfg.Reads, "reads", store.DefaultReads, "reads a second, watches included")
+	fs.IntVar(&cfg.Writes, "writes", store.DefaultWrites, "writes a second, lease calls included")
+	fs.DurationVar(&cfg.WatchWait, "watch-wait", store.DefaultWatchWait, "how long a watch waits for a newer version")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("HEMLOCK_STORE")); err != nil {
+		return cfg, "", err
+	}
+	if fs.NArg() > 0 {
+		return cfg, "", fmt.Errorf("unexpected argument %q; remove it", fs.Arg(0))
+	}
+	if cfg.Reads <= 0 || cfg.Writes <= 0 || cfg.WatchWait <= 0 {
+		return cfg, "", errors.New("-reads, -writes and -watch-wait must be above 0; correct the setting")
+	}
+	return cfg, *listen, nil
+}
+
+func serve(cfg store.Config, listen string) error {
+	log, err := zap.NewProduction(zap.Fields(zap.String("role", "store")))
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return fmt.Errorf("%w; choose a free address with -listen", err)
+	}
+	server := &http.Server{Handler: store.New(cfg).Handler(), ReadHeaderTimeout: 5 * time.Second}
+	var g run.Group
+	g.Add(func() error {
+		log.Info("serving", zap.Stringer("address", l.Addr()))
+		return server.Serve(l)
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), drain)
+		defer cancel()
+		if server.Shutdown(ctx) != nil { // a watch outlasts the drain
+			_ = server.Close()
+		}
+	})
+	g.Add(run.SignalHandler(context.Background(), syscall.SIGTERM, syscall.SIGINT))
+	var signal run.SignalError
+	if err := g.Run(); !errors.As(err, &signal) {
+		return err
+	}
+	log.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/standin/store/http.go
@@ -0,0 +1,254 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/hemlockscale/hemlockscale/internal/store"
+)
+
+// Paths of the stand-in's own controls, which the platform does not have.
+const (
+	PathCalls  = "/standin/calls"  // GET: Calls as JSON
+	PathFaults = "/standin/faults" // POST: Faults as JSON
+)
+
+// bodyLimit bounds a request: a value of store.MaxValue in base64 and its frame.
+const bodyLimit = 2 * store.MaxValue
+
+var statusOf = map[string]int{
+	store.CodeNotFound:     http.StatusNotFound,
+	store.CodeConflict:     http.StatusConflict,
+	store.CodeLeaseExpired: http.StatusGone,
+	store.CodeTooLarge:     http.StatusRequestEntityTooLarge,
+	store.CodeTimeout:      http.StatusRequestTimeout,
+	store.CodeNotRun:       http.StatusServiceUnavailable,
+	store.CodeInvalid:      http.StatusBadRequest,
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func refuse(w http.ResponseWriter, e *store.ErrorBody) {
+	answer(w, statusOf[e.Code], e)
+}
+
+// admit counts a call, applies the faults that strike before its effect and
+// says whether it may run.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, limit *rate.Limiter, count func(*Calls)) bool {
+	s.mu.Lock()
+	count(&s.calls)
+	faults := s.faults
+	s.mu.Unlock()
+	if faults.Delay > 0 && !pause(r.Context(), faults.Delay) {
+		return false
+	}
+	if faults.Outage {
+		refuse(w, &store.ErrorBody{Code: store.CodeNotRun, Detail: "outage"})
+		return false
+	}
+	if limit.Allow() {
+		return true
+	}
+	s.mu.Lock()
+	s.calls.Limited++
+	s.mu.Unlock()
+	w.Header().Set("Retry-After", "1")
+	answer(w, http.StatusTooManyRequests, &store.ErrorBody{Code: store.CodeNotRun, Detail: "over the rate"})
+	return false
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func decode(w http.ResponseWriter, r *http.Request, body any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimit)).Decode(body)
+	if err != nil {
+		refuse(w, &store.ErrorBody{Code: store.CodeInvalid, Detail: err.Error()})
+	}
+	return err == nil
+}
+
+// lost decides by chance whether the answer to a write that took effect is
+// lost, and if so cuts the connection.
+func (s *Server) lost(w http.ResponseWriter) bool {
+	s.mu.Lock()
+	lose := s.faults.LoseAnswer > 0 && s.rng.Float64() < s.faults.LoseAnswer
+	s.mu.Unlock()
+	if !lose {
+		return false
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+	return true
+}
+
+func (s *Server) handleGet(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r, s.reads, func(c *Calls) { c.Reads++ }) {
+		return
+	}
+	s.mu.Lock()
+	s.expire(time.Now())
+	rec, ok := s.values[r.URL.Query().Get(store.ParamKey)]
+	s.mu.Unlock()
+	if !ok {
+		refuse(w, &store.ErrorBody{Code: store.CodeNotFound})
+		return
+	}
+	answer(w, http.StatusOK, store.ValueBody{Data: rec.Data, Version: rec.Version})
+}
+
+func (s *Server) handleSwap(w http.ResponseWriter, r *http.Request) {
+	var body store.SwapBody
+	if !decode(w, r, &body) || !s.admit(w, r, s.writes, func(c *Calls) { c.Writes++ }) {
+		return
+	}
+	s.mu.Lock()
+	version, refused := s.swap(time.Now(), body)
+	s.mu.Unlock()
+	switch {
+	case refused != nil:
+		refuse(w, refused)
+	case !s.lost(w):
+		answer(w, http.StatusOK, store.VersionBody{Version: version})
+	}
+}
+
+func (s *Server) handleDelete(w http.ResponseWriter, r *http.Request) {
+	var body store.SwapBody
+	if !decode(w, r, &body) || !s.admit(w, r, s.writes, func(c *Calls) { c.Writes++ }) {
+		return
+	}
+	s.mu.Lock()
+	refused := s.delete(time.Now(), body)
+	s.mu.Unlock()
+	switch {
+	case refused != nil:
+		refuse(w, refused)
+	case !s.lost(w):
+		answer(w, http.StatusOK, struct{}{})
+	}
+}
+
+func (s *Server) handleGrant(w http.ResponseWriter, r *http.Request) {
+	var body store.LeaseBody
+	if !decode(w, r, &body) || !s.admit(w, r, s.writes, func(c *Calls) { c.Leases++ }) {
+		return
+	}
+	if body.TTL <= 0 {
+		refuse(w, &store.ErrorBody{Code: store.CodeInvalid, Detail: "ttl_ms must be above 0"})
+		return
+	}
+	s.mu.Lock()
+	id := s.grant(time.Now(), time.Duration(body.TTL)*time.Millisecond)
+	s.mu.Unlock()
+	if !s.lost(w) {
+		answer(w, http.StatusOK, store.LeaseBody{Lease: id, TTL: body.TTL})
+	}
+}
+
+func (s *Server) handleRenew(w http.ResponseWriter, r *http.Request) {
+	var body store.LeaseBody
+	if !decode(w, r, &body) || !s.admit(w, r, s.writes, func(c *Calls) { c.Leases++ }) {
+		return
+	}
+	s.mu.Lock()
+	ok := s.renew(time.Now(), body.Lease)
+	s.mu.Unlock()
+	switch {
+	case !ok:
+		refuse(w, &store.ErrorBody{Code: store.CodeLeaseExpired})
+	case !s.lost(w):
+		answer(w, http.StatusOK, struct{}{})
+	}
+}
+
+func (s *Server) handleWatch(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r, s.reads, func(c *Calls) { c.Watches++ }) {
+		return
+	}
+	after, err := strconv.ParseUint(r.URL.Query().Get(store.ParamAfter), 10, 64)
+	if err != nil {
+		refuse(w, &store.ErrorBody{Code: store.CodeInvalid, Detail: "after: " + err.Error()})
+		return
+	}
+	v, refused := s.watch(r.Context(), r.URL.Query().Get(store.ParamKey), after)
+	if refused != nil {
+		refuse(w, refused)
+		return
+	}
+	answer(w, http.StatusOK, store.ValueBody{Data: v.Data, Version: v.Version})
+}
+
+// watch waits for a version above after, the end of the server's wait or the
+// end of a lease, whichever comes first.
+func (s *Server) watch(ctx context.Context, key string, after uint64) (store.Value, *store.ErrorBody) {
+	end := time.Now().Add(s.cfg.WatchWait)
+	for {
+		s.mu.Lock()
+		now := time.Now()
+		s.expire(now)
+		rec, ok := s.values[key]
+		wait := end.Sub(now)
+		if l, leased := s.leases[rec.lease]; leased {
+			wait = min(wait, l.end.Sub(now))
+		}
+		changed, stopped := s.changed, s.faults.StopWatches
+		s.mu.Unlock()
+		switch {
+		case stopped:
+			<-ctx.Done()
+			return store.Value{}, &store.ErrorBody{Code: store.CodeNotRun, Detail: "watch stopped"}
+		case ok && rec.Version > after:
+			return rec.Value, nil
+		case !ok && after > 0:
+			return store.Value{}, &store.ErrorBody{Code: store.CodeNotFound}
+		case !now.Before(end):
+			return store.Value{}, &store.ErrorBody{Code: store.CodeTimeout}
+		}
+		waitChange(ctx, changed, wait)
+		if ctx.Err() != nil {
+			return store.Value{}, &store.ErrorBody{Code: store.CodeNotRun, Detail: "caller left"}
+		}
+	}
+}
+
+func waitChange(ctx context.Context, changed <-chan struct{}, wait time.Duration) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Server) handleCalls(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, s.Calls())
+}
+
+func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if decode(w, r, &f) {
+		s.SetFaults(f)
+		answer(w, http.StatusOK, f)
+	}
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,228 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultTimeout      = 2 * time.Second
+	DefaultWatchTimeout = 30 * time.Second
+)
+
+// answerLimit bounds an answer: a value of MaxValue in base64 and its frame.
+const answerLimit = 2 * MaxValue
+
+// Config sets up a Client.
+type Config struct {
+	URL          string        // base URL such as http://10.0.0.1:7000
+	Timeout      time.Duration // of every call but Watch; default DefaultTimeout
+	WatchTimeout time.Duration // of Watch; above the server's own wait; default DefaultWatchTimeout
+}
+
+// Client is an Interface over HTTP/1.1. It is safe for concurrent use.
+type Client struct {
+	cfg  Config
+	http *http.Client
+}
+
+var _ Interface = (*Client)(nil)
+
+// New returns a client of the service at cfg.URL.
+func New(cfg Config) (*Client, error) {
+	u, err := url.Parse(cfg.URL)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		return nil, fmt.Errorf("store: URL %q is not of the form http://address:port; correct the setting", cfg.URL)
+	}
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	if cfg.WatchTimeout <= 0 {
+		cfg.WatchTimeout = DefaultWatchTimeout
+	}
+	dialer := &net.Dialer{Timeout: cfg.Timeout}
+	return &Client{
+		cfg: cfg,
+		http: &http.Client{
+			Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute},
+			// A redirect would send the body of a write a second time.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}, nil
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements Interface.
+func (c *Client) Get(ctx context.Context, key string) (Value, error) {
+	q := url.Values{ParamKey: {key}}
+	return c.read(ctx, call{op: "get", key: key, path: PathValue + "?" + q.Encode(), timeout: c.cfg.Timeout})
+}
+
+// Watch implements Interface.
+func (c *Client) Watch(ctx context.Context, key string, after uint64) (Value, error) {
+	q := url.Values{ParamKey: {key}, ParamAfter: {strconv.FormatUint(after, 10)}}
+	return c.read(ctx, call{op: "watch", key: key, path: PathWatch + "?" + q.Encode(), after: after, timeout: c.cfg.WatchTimeout})
+}
+
+func (c *Client) read(ctx context.Context, k call) (Value, error) {
+	var body ValueBody
+	if err := c.do(ctx, k, &body); err != nil {
+		return Value{}, err
+	}
+	return Value{Data: body.Data, Version: body.Version}, nil
+}
+
+// CompareAndSwap implements Interface.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expect uint64, data []byte, lease LeaseID) (uint64, error) {
+	if len(data) > MaxValue {
+		return 0, &TooLargeError{Key: key, Size: len(data)}
+	}
+	var body VersionBody
+	err := c.do(ctx, call{
+		op: "compare-and-swap", key: key, path: PathSwap, expect: expect, lease: lease, timeout: c.cfg.Timeout,
+		body: SwapBody{Key: key, Expect: expect, Data: data, Lease: lease}, write: true,
+	}, &body)
+	return body.Version, err
+}
+
+// Delete implements Interface.
+func (c *Client) Delete(ctx context.Context, key string, expect uint64) error {
+	return c.do(ctx, call{
+		op: "delete", key: key, path: PathDelete, expect: expect, timeout: c.cfg.Timeout,
+		body: SwapBody{Key: key, Expect: expect}, write: true,
+	}, nil)
+}
+
+// Grant implements Interface. A lease whose grant was lost ends by itself.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	var body LeaseBody
+	err := c.do(ctx, call{op: "grant", path: PathGrant, timeout: c.cfg.Timeout, body: LeaseBody{TTL: ttl.Milliseconds()}}, &body)
+	return body.Lease, err
+}
+
+// Renew implements Interface.
+func (c *Client) Renew(ctx context.Context, lease LeaseID) error {
+	return c.do(ctx, call{op: "renew", path: PathRenew, lease: lease, timeout: c.cfg.Timeout, body: LeaseBody{Lease: lease}}, nil)
+}
+
+// call is one exchange with the service.
+type call struct {
+	op, key, path string
+	body          any // nil for a GET
+	write         bool
+	expect, after uint64
+	lease         LeaseID
+	timeout       time.Duration
+}
+
+func (c *Client) do(ctx context.Context, k call, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, k.timeout)
+	defer cancel()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
+	req, err := c.request(ctx, k)
+	if err != nil {
+		return &UnavailableError{Op: k.op, Err: err}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return k.failed(err, sent.Load())
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit))
+	if err != nil {
+		return k.failed(err, true)
+	}
+	if resp.StatusCode == http.StatusOK {
+		return k.decode(raw, out)
+	}
+	return k.refused(resp, raw)
+}
+
+// request builds the HTTP request. net/http repeats a request by itself when
+// a reused connection fails under it, if the method is idempotent or nothing
+// was written and the body can be had again. A compare-and-swap sent twice
+// would meet its own first write and report a conflict for an edit that is in
+// force. POST without GetBody is never repeated.
+func (c *Client) request(ctx context.Context, k call) (*http.Request, error) {
+	if k.body == nil {
+		return http.NewRequestWithContext(ctx, http.MethodGet, c.cfg.URL+k.path, nil)
+	}
+	data, err := json.Marshal(k.body)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.cfg.URL+k.path, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
+
+// failed types a call without a usable answer. Once a connection carried the
+// request, a write may have taken effect.
+func (k call) failed(err error, sent bool) error {
+	if k.write && sent {
+		return &UnknownOutcomeError{Op: k.op, Key: k.key, Err: err}
+	}
+	return &UnavailableError{Op: k.op, Err: err}
+}
+
+func (k call) decode(raw []byte, out any) error {
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return k.failed(fmt.Errorf("malformed answer: %w", err), true)
+	}
+	return nil
+}
+
+// refused types an answer other than 200. Only an answer in the service's own
+// words proves that a write did not run: a bare 5xx may come from a process in
+// between that gave up waiting.
+func (k call) refused(resp *http.Response, raw []byte) error {
+	var body ErrorBody
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return k.failed(fmt.Errorf("status %s", resp.Status), true)
+	}
+	switch body.Code {
+	case CodeNotFound:
+		return &NotFoundError{Key: k.key}
+	case CodeConflict:
+		return &ConflictError{Key: k.key, Expected: k.expect, Current: body.Current}
+	case CodeLeaseExpired:
+		return &LeaseExpiredError{Lease: k.lease}
+	case CodeTooLarge:
+		return &TooLargeError{Key: k.key}
+	case CodeTimeout:
+		return &WatchTimeoutError{Key: k.key, After: k.after}
+	case CodeNotRun, CodeInvalid:
+		return &UnavailableError{Op: k.op, RetryAfter: retryAfter(resp), Err: errors.New(body.Detail)}
+	}
+	return k.failed(fmt.Errorf("status %s, code %q", resp.Status, body.Code), true)
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return time.Duration(s) * time.Second
+}
--- /dev/null
+++ b/internal/store/client_test.go
@@ -0,0 +1,127 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func client(t *testing.T, url string) *Client {
+	t.Helper()
+	c, err := New(Config{URL: url, Timeout: 5 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Symptom: an edit that took effect is reported as a conflict.
+// Events: a compare-and-swap goes out on a reused connection, takes effect,
+// and the connection ends before the answer.
+// Cause: net/http sends a request again by itself when a reused connection
+// fails and the request counts as idempotent with a body that it can rewind.
+func TestSwapIsSentOnce(t *testing.T) {
+	var swaps atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			_, _ = io.WriteString(w, `{"version":1}`)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		swaps.Add(1)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}))
+	defer server.Close()
+	c := client(t, server.URL)
+	if _, err := c.Get(context.Background(), "a"); err != nil { // leaves a connection to reuse
+		t.Fatal(err)
+	}
+	var unknown *UnknownOutcomeError
+	if _, err := c.CompareAndSwap(context.Background(), "a", 1, []byte("x"), ""); !errors.As(err, &unknown) {
+		t.Fatalf("got %v, want unknown outcome", err)
+	}
+	if n := swaps.Load(); n != 1 {
+		t.Fatalf("sent %d times", n)
+	}
+}
+
+func TestWriteOutcomeByAnswer(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		body   string
+		want   any
+	}{
+		{"not run", 503, `{"code":"not_run"}`, new(*UnavailableError)},
+		{"bare 503", 503, "gateway", new(*UnknownOutcomeError)},
+		{"redirect", 307, "", new(*UnknownOutcomeError)},
+		{"cut answer", 200, `{"ver`, new(*UnknownOutcomeError)},
+		{"conflict", 409, `{"code":"conflict","current":4}`, new(*ConflictError)},
+		{"lease", 410, `{"code":"lease_expired"}`, new(*LeaseExpiredError)},
+		{"strange code", 418, `{"code":"tea"}`, new(*UnknownOutcomeError)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Location", "/elsewhere")
+				w.WriteHeader(tt.status)
+				_, _ = io.WriteString(w, tt.body)
+			}))
+			defer server.Close()
+			_, err := client(t, server.URL).CompareAndSwap(context.Background(), "a", 1, nil, "")
+			if !errors.As(err, tt.want) {
+				t.Fatalf("got %T %v", err, err)
+			}
+		})
+	}
+}
+
+func TestWriteDidNotRunWithoutConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	_, err = client(t, "http://"+l.Addr().String()).CompareAndSwap(context.Background(), "a", 1, nil, "")
+	var unavailable *UnavailableError
+	if !errors.As(err, &unavailable) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestNewRefusesURL(t *testing.T) {
+	for _, url := range []string{"", "10.0.0.1:70", "https://a", "http://"} {
+		if _, err := New(Config{URL: url}); err == nil || !strings.Contains(err.Error(), "setting") {
+			t.Errorf("%q: %v", url, err)
+		}
+	}
+}
+
+func TestBackoffGrowsToMax(t *testing.T) {
+	b := Backoff{Base: time.Second, Max: 8 * time.Second, Rand: rand.New(rand.NewPCG(1, 1))}
+	for _, want := range []time.Duration{1, 2, 4, 8, 8, 8} {
+		if d := b.Next(); d < want*time.Second/2 || d > want*time.Second {
+			t.Fatalf("waited %v around %d s", d, want)
+		}
+	}
+	b.Reset()
+	if d := b.Next(); d > time.Second {
+		t.Fatalf("waited %v after a reset", d)
+	}
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,47 @@
+// Package store reads and writes the platform's key-value service: values
+// under compare-and-swap, leases and waiting watches. Interface is what the
+// rest of the system sees; Client speaks HTTP/1.1 with JSON bodies.
+package store
+
+import (
+	"context"
+	"time"
+)
+
+// MaxValue is the largest value in bytes that the service holds.
+const MaxValue = 1 << 20
+
+// LeaseID names a lease. The empty ID is no lease: the value stays until it
+// is deleted.
+type LeaseID string
+
+// Value is what a key holds. Version grows with every write to any key, so a
+// key that is deleted and written again never repeats a version.
+type Value struct {
+	Data    []byte
+	Version uint64
+}
+
+// Interface is the platform's key-value service. Every method may return an
+// *UnavailableError; the other errors are named at each method.
+type Interface interface {
+	// Get reads a key. Errors: *NotFoundError.
+	Get(ctx context.Context, key string) (Value, error)
+	// CompareAndSwap writes data if the key is at version expect, where 0
+	// means that it must not exist. A value under a lease is removed when the
+	// lease ends. Errors: *ConflictError, *LeaseExpiredError,
+	// *TooLargeError and *UnknownOutcomeError. The call is sent at most once.
+	CompareAndSwap(ctx context.Context, key string, expect uint64, data []byte, lease LeaseID) (uint64, error)
+	// Delete removes a key that is at version expect, or at any version if
+	// expect is 0. Errors: *NotFoundError, *ConflictError and
+	// *UnknownOutcomeError.
+	Delete(ctx context.Context, key string, expect uint64) error
+	// Grant starts a lease that ends ttl after its last renewal.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// Renew extends a lease by its ttl from now. Errors: *LeaseExpiredError.
+	Renew(ctx context.Context, lease LeaseID) error
+	// Watch waits until the key's version is above after and returns its
+	// value. Errors: *WatchTimeoutError when the server's wait ends first,
+	// *NotFoundError when after is not 0 and the key is gone.
+	Watch(ctx context.Context, key string, after uint64) (Value, error)
+}
--- /dev/null
+++ b/internal/store/wire.go
@@ -0,0 +1,58 @@
+package store
+
+// Paths and bodies of the HTTP/1.1 protocol. Every call is a POST with a JSON
+// body, except Get and Watch, which are a GET with ParamKey and ParamAfter.
+const (
+	PathValue  = "/v1/value"
+	PathWatch  = "/v1/watch"
+	PathSwap   = "/v1/swap"
+	PathDelete = "/v1/delete"
+	PathGrant  = "/v1/lease/grant"
+	PathRenew  = "/v1/lease/renew"
+
+	ParamKey   = "key"
+	ParamAfter = "after"
+)
+
+// ValueBody answers Get and Watch.
+type ValueBody struct {
+	Data    []byte `json:"data"`
+	Version uint64 `json:"version"`
+}
+
+// SwapBody asks for a compare-and-swap or a delete.
+type SwapBody struct {
+	Key    string  `json:"key"`
+	Expect uint64  `json:"expect"`
+	Data   []byte  `json:"data,omitempty"`
+	Lease  LeaseID `json:"lease,omitempty"`
+}
+
+// VersionBody answers a compare-and-swap.
+type VersionBody struct {
+	Version uint64 `json:"version"`
+}
+
+// LeaseBody asks for and answers lease calls. TTL is in milliseconds.
+type LeaseBody struct {
+	Lease LeaseID `json:"lease,omitempty"`
+	TTL   int64   `json:"ttl_ms,omitempty"`
+}
+
+// Codes of ErrorBody.
+const (
+	CodeNotFound     = "not_found"
+	CodeConflict     = "conflict"
+	CodeLeaseExpired = "lease_expired"
+	CodeTooLarge     = "too_large"
+	CodeTimeout      = "timeout"
+	CodeNotRun       = "not_run" // the call had no effect
+	CodeInvalid      = "invalid"
+)
+
+// ErrorBody answers a call that failed.
+type ErrorBody struct {
+	Code    string `json:"code"`
+	Current uint64 `json:"current,omitempty"`
+	Detail  string `json:"detail,omitempty"`
+}
