--- a/placement/decider_test.go
+++ b/placement/decider_test.go
@@ -49,7 +49,7 @@
 
 func TestForgottenDecisionsAreCounted(t *testing.T) {
 	d := NewDecider(1, DeciderOptions{})
-	for i := range uint64(2*DefaultDecisions) {
+	for i := range uint64(2 * DefaultDecisions) {
 		d.Decide(testStart, testID(i), 0, Alternate{}, false)
 	}
 	if d.Forgotten < DefaultDecisions {
--- a/placement/table.go
+++ b/placement/table.go
@@ -73,8 +73,8 @@
 	local   []uint32 // indices of the agents in the balancer's zone; nil when none or all are
 	shift   uint8    // hash >> shift is a part of the ring
 	samples uint8
-	top     uint8    // highest weight
-	even    bool     // all weights are equal
+	top     uint8 // highest weight
+	even    bool  // all weights are equal
 }
 
 // NewTable builds a table. Agents of weight 0 are left out; of two agents with
