Placement lab: the first answer returns by the Initial's balancer

Cause: the lab let an agent's occupancy reach a balancer only at random times; in the path the first answer of a flow goes back by the balancer that brought its Initial, so that balancer always learns the effect of its own choice. Change: one report to that balancer after each placement, also in the case with few other reports. The way back by the Initial's balancer matters to balance, not only to loss.

--- a/cmd/hemlock-lab/main.go
+++ b/cmd/hemlock-lab/main.go
@@ -26,10 +26,10 @@
 
 type settings struct {
 	agents, balancers, zones, parallel, seeds int
-	duration, reportEvery              time.Duration
-	seed                               uint64
-	cases, policies, output            string
-	options                            lab.Options
+	duration, reportEvery                     time.Duration
+	seed                                      uint64
+	cases, policies, output                   string
+	options                                   lab.Options
 }
 
 // SettingError names a wrong setting and its remedy.
--- a/placement/lab/model.go
+++ b/placement/lab/model.go
@@ -178,6 +178,7 @@
 	f.server = int32(chosen)
 	m.servers[chosen].conns++
 	m.request(id)
+	m.policy.report(m, b, chosen) // the first answer goes back by the same balancer
 }
 
 func (m *model) request(id int32) {
