Placement: occupancy in step with requests, margin below one request

Change: 8 points a request at 5 slots up to five requests a slot, connections by their root; margin 16 -> 5, unknown 80 -> 40 (all slots busy).

--- a/placement/decider.go
+++ b/placement/decider.go
@@ -20,7 +20,7 @@
 
 // Defaults of DeciderOptions.
 const (
-	DefaultMargin    = 16
+	DefaultMargin    = 5
 	DefaultTTL       = 5 * time.Second
 	DefaultDecisions = 2048
 )
--- a/placement/load.go
+++ b/placement/load.go
@@ -34,7 +34,7 @@
 // a busy one.
 const (
 	DefaultMaxAge            = 3 * time.Second
-	DefaultUnknown Occupancy = 80
+	DefaultUnknown Occupancy = 40
 )
 
 const (
--- a/placement/occupancy.go
+++ b/placement/occupancy.go
@@ -1,5 +1,7 @@
 package placement
 
+import "math"
+
 // Occupancy is an agent's load in one byte, 0 (idle) to Full.
 type Occupancy uint8
 
@@ -8,9 +10,9 @@
 
 // Parts of the scale below Full.
 const (
-	slotScale       = 96 // all slots busy, none waiting
-	queueScale      = 64 // a queue without end
-	connectionScale = 90 // all connections taken
+	requestScale    = 40  // one request per slot, at work or waiting
+	requestTop      = 200 // the most that requests count
+	connectionScale = 50  // all connections taken
 )
 
 // Usage is what an agent knows about itself.
@@ -21,16 +23,16 @@
 	Draining                    bool
 }
 
-// Occupancy returns the usage in one byte. It rises with busy slots, with the
-// queue and with connections; draining and no connection left are Full.
+// Occupancy returns the usage in one byte. It rises in step with the requests
+// at work and waiting, up to five for each slot, and more finely with the root
+// of the connections: among agents of few connections one more still shows.
+// Draining and no connection left are Full.
 func (u Usage) Occupancy() Occupancy {
 	if u.Draining || u.Connections >= u.MaxConnections {
 		return Full
 	}
-	slots := max(u.Slots, 1)
-	busy := min(u.SlotsBusy, slots)
-	level := busy * slotScale / slots
-	level += u.Queue * queueScale / (u.Queue + slots)
-	level += u.Connections * connectionScale / u.MaxConnections
-	return Occupancy(min(level, int(Full)-1))
+	requests := float64(u.SlotsBusy+u.Queue) / float64(max(u.Slots, 1))
+	connections := float64(u.Connections) / float64(u.MaxConnections)
+	level := min(requests*requestScale, requestTop) + math.Sqrt(connections)*connectionScale
+	return Occupancy(level)
 }
