Run a request with an idempotency key at most once

Cause: a caller repeats its request with the same key on a new connection at another agent after the first was killed or frozen, and it must not run twice.

Change: package idempotency, pure state machines. Each key has up to five homes by rendezvous hash. A Requester starts a request only with the votes of more than half of them; a Home gives its vote on a key to one claim and remembers it for the window. A process that has just come into the roster doesn't vote (start fence), and an Electorate goes on counting those that are gone, so majorities of differing rosters share a home. Where the votes don't suffice the answer is Unknown, or NotRun if they prove it.

This isn't the single home per key with a fence that was weighed first: with rosters that differ in one agent, two homes both believe they are the home.

Proof: generated schedules of loss, copies, delay, reordering, crashes, restarts, freezes, joins, leaves, false suspicion and partitions; porcupine on the history of one key.

--- /dev/null
+++ b/idempotency/config.go
@@ -0,0 +1,68 @@
+package idempotency
+
+import "time"
+
+// Defaults of Config.
+const (
+	DefaultWindow    = 60 * time.Second
+	DefaultExpiry    = time.Second
+	DefaultSkew      = 10 * time.Second
+	DefaultFreshness = 5 * time.Second
+	DefaultRetention = 2 * time.Hour
+	DefaultResend    = 100 * time.Millisecond
+	DefaultDrift     = 0.01
+	DefaultHomes     = 5
+	DefaultMaxKeys   = 50_000
+)
+
+// Config holds the bounds that all processes of a service must share. A zero
+// field means its default.
+type Config struct {
+	Window    time.Duration // a key runs at most once within it; default DefaultWindow
+	Expiry    time.Duration // from asking for votes to the first byte; default DefaultExpiry
+	Skew      time.Duration // until each requester has heard of a change of the roster; default DefaultSkew
+	Freshness time.Duration // a roster that wasn't confirmed for longer isn't acted on; default DefaultFreshness
+	Retention time.Duration // how long a process that vanished is still counted; default DefaultRetention
+	Resend    time.Duration // until a home that didn't answer is asked again; default DefaultResend
+	Drift     float64       // bound on how fast two clocks drift apart; default DefaultDrift
+	Homes     int           // homes of a key, at most maxHomes; default DefaultHomes
+	MaxKeys   int           // keys that a home remembers; default DefaultMaxKeys
+}
+
+// maxHomes bounds Config.Homes, so that an attempt has a fixed size.
+const maxHomes = 16
+
+// withDefaults returns c with its zero fields filled in.
+func (c Config) withDefaults() Config {
+	setDefault(&c.Window, DefaultWindow)
+	setDefault(&c.Expiry, DefaultExpiry)
+	setDefault(&c.Skew, DefaultSkew)
+	setDefault(&c.Freshness, DefaultFreshness)
+	setDefault(&c.Retention, DefaultRetention)
+	setDefault(&c.Resend, DefaultResend)
+	setDefault(&c.Drift, DefaultDrift)
+	setDefault(&c.Homes, DefaultHomes)
+	setDefault(&c.MaxKeys, DefaultMaxKeys)
+	c.Homes = min(c.Homes, maxHomes)
+	return c
+}
+
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+// Keep is how long a home remembers a vote: the window, plus the time by which
+// the run may come after the vote, on clocks that drift apart.
+func (c Config) Keep() time.Duration {
+	c = c.withDefaults()
+	return time.Duration(float64(c.Window+2*c.Expiry) * (1 + 2*c.Drift))
+}
+
+// Fence is how long a process that has come into the roster doesn't vote.
+func (c Config) Fence() time.Duration {
+	c = c.withDefaults()
+	return c.Keep() + time.Duration(float64(c.Skew+c.Freshness+c.Expiry)*(1+2*c.Drift))
+}
--- /dev/null
+++ b/idempotency/property_test.go
@@ -0,0 +1,151 @@
+package idempotency
+
+import (
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+)
+
+func testConfig() Config {
+	return Config{
+		Window:    10 * time.Second,
+		Expiry:    400 * time.Millisecond,
+		Skew:      time.Second,
+		Freshness: time.Second,
+		Retention: time.Hour,
+		Resend:    50 * time.Millisecond,
+		Drift:     0.02,
+		Homes:     5,
+		MaxKeys:   1000,
+	}
+}
+
+func drawFaults(t *rapid.T) faults {
+	rate := func(name string, values ...float64) float64 {
+		return rapid.SampledFrom(append(values, 0)).Draw(t, name)
+	}
+	return faults{
+		loss:          rate("loss", 0.05, 0.3),
+		dup:           rate("dup", 0.1, 0.5),
+		delay:         rapid.SampledFrom([]time.Duration{1e6, 1e8, 1e9, 2e10}).Draw(t, "delay"),
+		crash:         rate("crash", 0.002, 0.02),
+		freeze:        rate("freeze", 0.002, 0.02),
+		partition:     rate("partition", 0.002, 0.02),
+		suspect:       rate("suspect", 0.01, 0.1),
+		join:          rate("join", 0.002, 0.01),
+		goes:          rate("leave", 0.001, 0.002),
+		longestFreeze: rapid.SampledFrom([]time.Duration{5e8, 1e10, 3e10}).Draw(t, "freeze time"),
+	}
+}
+
+func key(i int) Key { return KeyOf(7, "kanatpar", string(rune('a'+i))) }
+
+// honest fails unless each answer agrees with the runs so far.
+func (w *world) honest(t *rapid.T) func(*call) {
+	return func(c *call) {
+		var earlier *call
+		for _, r := range w.ran {
+			if r != c && r.key == c.key {
+				earlier = r
+			}
+		}
+		recent := earlier != nil && w.now.Sub(earlier.ranAt) < w.cfg.Window
+		switch {
+		case c.result == Run && recent:
+			t.Fatalf("key run again after %v", w.now.Sub(earlier.ranAt))
+		case c.result == NotRun && recent:
+			t.Fatalf("answered not run, but it ran %v ago", w.now.Sub(earlier.ranAt))
+		case c.result == Duplicate && c.state.ran() && earlier == nil:
+			t.Fatalf("answered %v, but it never ran", c.state)
+		}
+	}
+}
+
+// Symptom: a reservation locks one serial number to two operators.
+// Sequence: generated: callers repeat their keys at any agent while datagrams
+// are lost, copied, late and crossed, agents crash, freeze, join and leave,
+// take each other for dead and are cut off from each other.
+// Cause: two agents believe that they may run the key.
+func TestNoKeyRunsTwiceWithinItsWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := testConfig()
+		cfg.Homes = rapid.SampledFrom([]int{1, 3, 5, 9}).Draw(t, "homes")
+		n := rapid.IntRange(1, 9).Draw(t, "agents")
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, cfg, drawFaults(t))
+		w.check = w.honest(t)
+		w.run(60*time.Second, func() {
+			if w.rng.IntN(4) == 0 {
+				w.begin(w.rng.IntN(len(w.ps)), key(w.rng.IntN(6)))
+			}
+		}, true)
+	})
+}
+
+// ranOnce is the sequential behaviour of one key: a request runs if none did
+// before, a duplicate comes after a run, not run comes before any, and unknown
+// says nothing.
+var ranOnce = porcupine.Model{
+	Init: func() any { return false },
+	Step: func(state, _, output any) (bool, any) {
+		ran := state.(bool)
+		switch output.(EffectKind) {
+		case Run:
+			return !ran, true
+		case Duplicate:
+			return ran, ran
+		case NotRun:
+			return !ran, ran
+		}
+		return true, ran
+	},
+}
+
+func TestHistoryOfOneKeyIsLinearizable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := testConfig()
+		cfg.Window = time.Minute
+		f := drawFaults(t)
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 7).Draw(t, "agents"), cfg, f)
+		w.check = func(*call) {}
+		w.run(30*time.Second, func() {
+			if w.rng.IntN(50) == 0 {
+				w.begin(w.rng.IntN(len(w.ps)), key(0))
+			}
+		}, true)
+		var ops []porcupine.Operation
+		for i, c := range w.calls {
+			out := c.result
+			if out == Duplicate && !c.state.ran() || c.end.IsZero() {
+				out = Unknown
+			}
+			if c.end.IsZero() {
+				c.end = w.now
+			}
+			ops = append(ops, porcupine.Operation{ClientId: i, Call: c.begin.UnixNano(), Return: c.end.UnixNano(), Output: out})
+		}
+		if !porcupine.CheckOperations(ranOnce, ops) {
+			t.Fatalf("history of %d calls isn't linearizable", len(ops))
+		}
+	})
+}
+
+// Without faults every key runs, whichever agent is asked first.
+func TestEveryKeyRunsWithoutFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(t, "agents")
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, testConfig(), faults{delay: 5 * time.Millisecond})
+		w.check = func(*call) {}
+		i := 0
+		w.run(4*time.Second, func() {
+			if i < 50 {
+				w.begin(w.rng.IntN(n), key(i))
+				i++
+			}
+		}, false)
+		if len(w.ran) != 50 {
+			t.Fatalf("%d of 50 keys ran", len(w.ran))
+		}
+	})
+}
