--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -34,6 +34,9 @@
 // Checksum returns the running checksum.
 func (c *Catalogue) Checksum() Checksum { return c.checksum }
 
+// Digest returns revision and checksum, which together identify the state.
+func (c *Catalogue) Digest() Digest { return Digest{Revision: c.revision, Checksum: c.checksum} }
+
 // Len returns the number of entries.
 func (c *Catalogue) Len() int { return len(c.entries) }
 
--- a/catalogue/editor.go
+++ b/catalogue/editor.go
@@ -12,6 +12,8 @@
 type Editor struct {
 	Store Store
 	Now   func() time.Time // time.Now if nil
+
+	sizes sizes // defaultSizes if zero
 }
 
 // Accepted reports an edit that is in the store. Every node will have it in
@@ -141,6 +143,13 @@
 	return time.Now()
 }
 
+func (ed *Editor) limits() sizes {
+	if ed.sizes == (sizes{}) {
+		return defaultSizes
+	}
+	return ed.sizes
+}
+
 // fresh refuses an edit of a service that changed after the edit's base.
 // Without it the slower of two operators would silently undo the other.
 func (ed *Editor) fresh(ctx context.Context, h Head, e Edit) error {
--- a/catalogue/extend.go
+++ b/catalogue/extend.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// extend returns the head after changes. A tail over tailLimit is first
-// written out as a log page, and logs over logLimit are folded into a new
+// extend returns the head after changes. A tail over sizes.tail is first
+// written out as a log page, and logs over sizes.logs are folded into a new
 // base. Pages are written before the head names them: a crash in between
 // leaves pages that nobody reads and nothing else.
 func (ed *Editor) extend(ctx context.Context, c *Catalogue, h Head, changes []Change) (Head, error) {
@@ -19,7 +19,7 @@
 	next.Revision, next.Checksum, next.Next = c.revision, c.checksum, c.next
 	next.Tail = append(append([]Change(nil), h.Tail...), changes...)
 	data := encode(next.Tail)
-	if len(data) <= tailLimit {
+	if len(data) <= ed.limits().tail {
 		return next, nil
 	}
 	page, err := writePage(ctx, ed.Store, "log", c, data)
@@ -28,7 +28,7 @@
 	}
 	next.Logs = append(append([]logRef(nil), h.Logs...), logRef{next.Tail[0].Revision, next.Revision, page})
 	next.Tail = nil
-	if next.logBytes() <= logLimit {
+	if next.logBytes() <= ed.limits().logs {
 		return next, nil
 	}
 	return ed.rebase(ctx, c, next)
@@ -49,7 +49,7 @@
 // removed at the rebase after this one, so a reader that holds the old head
 // can still finish.
 func (ed *Editor) rebase(ctx context.Context, c *Catalogue, h Head) (Head, error) {
-	base, err := writeBase(ctx, ed.Store, c)
+	base, err := writeBase(ctx, ed.Store, c, ed.limits().page)
 	if err != nil {
 		return Head{}, err
 	}
@@ -62,7 +62,7 @@
 	for _, p := range h.Base.Pages {
 		h.Garbage = append(h.Garbage, p.Key)
 	}
-	for len(h.Logs) > keptLogs {
+	for len(h.Logs) > ed.limits().kept {
 		h.Garbage = append(h.Garbage, h.Logs[0].Page.Key)
 		h.Logs = h.Logs[1:]
 	}
--- a/catalogue/layout.go
+++ b/catalogue/layout.go
@@ -14,18 +14,17 @@
 // HeadKey is the one key whose compare-and-swap orders every edit.
 const HeadKey = "catalogue/head"
 
-// Sizes of the layout in bytes. The head is read once a change by every
-// reader, so its tail stays small; pages are read only when a reader starts
-// or has fallen behind.
-const (
-	tailLimit = 16 << 10  // encoded changes in the head
-	logLimit  = 512 << 10 // log pages behind the base before a new base is written
-	pageLimit = 768 << 10 // one page of the base
-)
+// sizes bounds the parts of the layout. The head is read once a change by
+// every reader, so its tail stays small; pages are read only when a reader
+// starts or has fallen behind.
+type sizes struct {
+	tail int // bytes of changes in the head
+	logs int // bytes of log pages behind the base before a new base is written
+	page int // bytes of one page of the base
+	kept int // log pages that stay readable for the history
+}
 
-// keptLogs is how many log pages stay readable for the history, those behind
-// the base included.
-const keptLogs = 64
+var defaultSizes = sizes{tail: 16 << 10, logs: 512 << 10, page: 768 << 10, kept: 64}
 
 // headFormat changes when older processes cannot read the head.
 const headFormat = 1
@@ -172,7 +171,11 @@
 		}
 		whole.Write(data)
 	}
-	return ReadSnapshot(&whole)
+	s, err := ReadSnapshot(&whole)
+	if err != nil {
+		return nil, err
+	}
+	return s.Catalogue(), nil
 }
 
 // writePage writes an immutable page. A conflict means that the page is
@@ -189,13 +192,13 @@
 	return pageRef{key, len(data)}, nil
 }
 
-func writeBase(ctx context.Context, st Store, c *Catalogue) (baseRef, error) {
+func writeBase(ctx context.Context, st Store, c *Catalogue, page int) (baseRef, error) {
 	var whole bytes.Buffer
-	if err := c.WriteSnapshot(&whole); err != nil {
+	if err := c.Snapshot().Write(&whole); err != nil {
 		return baseRef{}, err
 	}
 	b := baseRef{Revision: c.revision}
-	for part := range slices.Chunk(whole.Bytes(), pageLimit) {
+	for part := range slices.Chunk(whole.Bytes(), page) {
 		p, err := writePage(ctx, st, "base", c, part)
 		if err != nil {
 			return baseRef{}, err
--- a/catalogue/snapshot.go
+++ b/catalogue/snapshot.go
@@ -39,10 +39,31 @@
 	Entries  int      `cbor:"5,keyasint"`
 }
 
-// WriteSnapshot streams the whole state: a header, the entries by ascending
-// number and a hash over both, as CBOR items under DEFLATE. Equal states give
-// equal bytes.
-func (c *Catalogue) WriteSnapshot(w io.Writer) error {
+// Snapshot is an immutable copy of a whole state, for streaming.
+type Snapshot struct {
+	Digest  Digest
+	Next    uint32  // next service number
+	Entries []Entry // by ascending number
+}
+
+// Snapshot copies the state.
+func (c *Catalogue) Snapshot() Snapshot {
+	return Snapshot{c.Digest(), c.next, c.Entries()}
+}
+
+// Catalogue builds the state that the snapshot was taken of.
+func (s Snapshot) Catalogue() *Catalogue {
+	c := New()
+	for _, e := range s.Entries {
+		c.put(e)
+	}
+	c.revision, c.checksum, c.next = s.Digest.Revision, s.Digest.Checksum, max(c.next, s.Next)
+	return c
+}
+
+// Write streams the snapshot: a header, the entries and a hash over both, as
+// CBOR items under DEFLATE. Equal states give equal bytes.
+func (s Snapshot) Write(w io.Writer) error {
 	z, err := flate.NewWriter(w, flate.BestSpeed)
 	if err != nil {
 		return err
@@ -50,11 +71,11 @@
 	buf := bufio.NewWriter(z)
 	hash := xxhash.New()
 	enc := encMode.NewEncoder(io.MultiWriter(buf, hash))
-	header := snapshotHeader{snapshotFormat, c.revision, c.checksum, c.next, len(c.entries)}
+	header := snapshotHeader{snapshotFormat, s.Digest.Revision, s.Digest.Checksum, s.Next, len(s.Entries)}
 	if err := enc.Encode(header); err != nil {
 		return err
 	}
-	for _, e := range c.Entries() {
+	for _, e := range s.Entries {
 		if err := enc.Encode(e); err != nil {
 			return err
 		}
@@ -68,47 +89,46 @@
 	return z.Close()
 }
 
-// ReadSnapshot reads what WriteSnapshot wrote. It returns a *SnapshotError
+// ReadSnapshot reads what Write wrote. It returns a *SnapshotError
 // for a truncated, damaged or unknown stream.
-func ReadSnapshot(r io.Reader) (*Catalogue, error) {
+func ReadSnapshot(r io.Reader) (Snapshot, error) {
 	z := flate.NewReader(r)
 	defer z.Close()
-	c, err := readSnapshot(cbor.NewDecoder(io.LimitReader(z, maxSnapshotBytes)))
+	s, err := readSnapshot(cbor.NewDecoder(io.LimitReader(z, maxSnapshotBytes)))
 	if err != nil {
-		return nil, &SnapshotError{err}
+		return Snapshot{}, &SnapshotError{err}
 	}
-	return c, nil
+	return s, nil
 }
 
-func readSnapshot(dec *cbor.Decoder) (*Catalogue, error) {
+func readSnapshot(dec *cbor.Decoder) (Snapshot, error) {
 	hash := xxhash.New()
 	var h snapshotHeader
 	if err := next(dec, hash, &h); err != nil {
-		return nil, err
+		return Snapshot{}, err
 	}
 	if h.Format != snapshotFormat {
-		return nil, fmt.Errorf("format %d is not %d", h.Format, snapshotFormat)
+		return Snapshot{}, fmt.Errorf("format %d is not %d", h.Format, snapshotFormat)
 	}
 	if h.Entries < 0 || h.Entries > maxSnapshotEntries {
-		return nil, fmt.Errorf("%d entries are over the bound", h.Entries)
+		return Snapshot{}, fmt.Errorf("%d entries are over the bound", h.Entries)
 	}
-	c := New()
+	s := Snapshot{Digest: Digest{Revision: h.Revision, Checksum: h.Checksum}, Next: h.Next}
 	for range h.Entries {
 		var e Entry
 		if err := next(dec, hash, &e); err != nil {
-			return nil, err
+			return Snapshot{}, err
 		}
-		c.put(e)
+		s.Entries = append(s.Entries, e)
 	}
 	var sum uint64
 	if err := dec.Decode(&sum); err != nil {
-		return nil, err
+		return Snapshot{}, err
 	}
 	if sum != hash.Sum64() {
-		return nil, errors.New("damaged")
+		return Snapshot{}, errors.New("damaged")
 	}
-	c.revision, c.checksum, c.next = h.Revision, h.Checksum, max(c.next, h.Next)
-	return c, nil
+	return s, nil
 }
 
 // next decodes one item and hashes its bytes.
--- a/internal/standin/store/http.go
+++ b/internal/standin/store/http.go
@@ -195,7 +195,7 @@
 		refuse(w, refused)
 		return
 	}
-	answer(w, http.StatusOK, store.ValueBody{Data: v.Data, Version: v.Version})
+	answer(w, http.StatusOK, store.ValueBody(v))
 }
 
 // watch waits for a version above after, the end of the server's wait or the
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -83,7 +83,7 @@
 	if err := c.do(ctx, k, &body); err != nil {
 		return Value{}, err
 	}
-	return Value{Data: body.Data, Version: body.Version}, nil
+	return Value(body), nil
 }
 
 // CompareAndSwap implements Interface.
