--- a/catalogue/change.go
+++ b/catalogue/change.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,6 +20,19 @@
 // String returns 16 hexadecimal digits.
 func (c Checksum) String() string { return fmt.Sprintf("%016x", uint64(c)) }
 
+// MarshalText implements encoding.TextMarshaler, as JSON numbers lose digits.
+func (c Checksum) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (c *Checksum) UnmarshalText(text []byte) error {
+	v, err := strconv.ParseUint(string(text), 16, 64)
+	if err != nil {
+		return fmt.Errorf("catalogue: checksum %q is malformed; copy its 16 hexadecimal digits", text)
+	}
+	*c = Checksum(v)
+	return nil
+}
+
 // Op is what a change does to an entry.
 type Op uint8
 
@@ -39,6 +53,9 @@
 	return fmt.Sprintf("op %d", uint8(o))
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (o Op) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
+
 // EditID names one attempt to edit the catalogue: the revision that it was
 // based on and a random part. Only the change of the next revision can carry
 // it, which settles an edit whose answer was lost.
--- a/catalogue/editor.go
+++ b/catalogue/editor.go
@@ -215,7 +215,7 @@
 // *RefusedError once the edit can no longer take effect, and an *UnknownError
 // while it still can or when it is older than the kept history.
 func (ed *Editor) Settle(ctx context.Context, id EditID) (Accepted, error) {
-	h, _, err := readHead(ctx, ed.Store)
+	h, _, err := ReadHead(ctx, ed.Store)
 	if err != nil {
 		return Accepted{}, &UnknownError{id, err}
 	}
@@ -242,7 +242,7 @@
 // History returns the kept changes above a revision, and the oldest revision
 // that it could have been asked for.
 func (ed *Editor) History(ctx context.Context, after uint64) ([]Change, uint64, error) {
-	h, _, err := readHead(ctx, ed.Store)
+	h, _, err := ReadHead(ctx, ed.Store)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/catalogue/follower.go
+++ b/catalogue/follower.go
@@ -234,7 +234,7 @@
 // LoadSince reads what leads from d to the head: the changes if the store
 // still keeps them and d is on its chain, else the whole catalogue.
 func LoadSince(ctx context.Context, st Store, d Digest) (Bulk, error) {
-	h, _, err := readHead(ctx, st)
+	h, _, err := ReadHead(ctx, st)
 	if err != nil {
 		return Bulk{}, err
 	}
--- a/catalogue/layout.go
+++ b/catalogue/layout.go
@@ -88,6 +88,9 @@
 	return h, nil
 }
 
+// Digest returns revision and checksum.
+func (h Head) Digest() Digest { return Digest{Revision: h.Revision, Checksum: h.Checksum} }
+
 // oldest returns the revision before the first change that the head can
 // still reach.
 func (h Head) oldest() uint64 {
@@ -100,9 +103,9 @@
 	return h.Revision
 }
 
-// readHead returns the head and its version, an empty head at version 0 if
+// ReadHead returns the head and its version, an empty head at version 0 if
 // the store holds none.
-func readHead(ctx context.Context, st Store) (Head, uint64, error) {
+func ReadHead(ctx context.Context, st Store) (Head, uint64, error) {
 	v, err := st.Get(ctx, HeadKey)
 	if isKind(err, KindNotFound) {
 		return Head{Format: headFormat, Next: 1}, 0, nil
@@ -224,7 +227,7 @@
 // the head's version, 0 if the store holds no catalogue.
 func Load(ctx context.Context, st Store) (*Catalogue, Head, uint64, error) {
 	for {
-		h, version, err := readHead(ctx, st)
+		h, version, err := ReadHead(ctx, st)
 		if err != nil {
 			return nil, Head{}, 0, err
 		}
@@ -238,7 +241,7 @@
 		if !isKind(err, KindNotFound) {
 			return nil, Head{}, 0, err
 		}
-		if _, now, again := readHead(ctx, st); again != nil || now == version {
+		if _, now, again := ReadHead(ctx, st); again != nil || now == version {
 			return nil, Head{}, 0, &LayoutError{HeadKey, errors.Join(errors.New("a page is missing"), err)}
 		}
 	}
--- a/catalogue/property_test.go
+++ b/catalogue/property_test.go
@@ -93,7 +93,7 @@
 	down, lose, drop := w.st.down, w.st.lose, w.st.drop
 	w.st.set(0, 0, 0)
 	defer w.st.set(down, lose, drop)
-	h, _, err := readHead(context.Background(), w.st)
+	h, _, err := ReadHead(context.Background(), w.st)
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/cmd/hemlock-store/main.go
+++ b/cmd/hemlock-store/main.go
@@ -7,9 +7,11 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -47,12 +49,24 @@
 func settings(args []string) (store.Config, string, error) {
 	var cfg store.Config
 	fs := flag.NewFlagSet("hemlock-store", flag.ContinueOnError)
+	fs.SetOutput(io.Discard) // main prints one line
+	showVersion := fs.Bool("version", false, "print the version and exit")
 	listen := fs.String("listen", "127.0.0.1:7000", "TCP address to serve on")
 	fs.IntVar(&cfg.Reads, "reads", store.DefaultReads, "reads a second, watches included")
 	fs.IntVar(&cfg.Writes, "writes", store.DefaultWrites, "writes a second, lease calls included")
 	fs.DurationVar(&cfg.WatchWait, "watch-wait", store.DefaultWatchWait, "how long a watch waits for a newer version")
-	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("HEMLOCK_STORE")); err != nil {
+	err := ff.Parse(fs, args, ff.WithEnvVarPrefix("HEMLOCK_STORE"))
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		fmt.Println("hemlock-store [flags]; each flag may be set as HEMLOCK_STORE_ and its name in capitals")
+		fs.SetOutput(os.Stdout)
+		fs.PrintDefaults()
 		return cfg, "", err
+	case err != nil:
+		return cfg, "", fmt.Errorf("%w; hemlock-store -h lists the flags", err)
+	case *showVersion:
+		fmt.Println("hemlock-store", version())
+		return cfg, "", flag.ErrHelp
 	}
 	if fs.NArg() > 0 {
 		return cfg, "", fmt.Errorf("unexpected argument %q; remove it", fs.Arg(0))
@@ -63,6 +77,13 @@
 	return cfg, *listen, nil
 }
 
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.Main.Version
+	}
+	return "unknown"
+}
+
 func serve(cfg store.Config, listen string) error {
 	log, err := zap.NewProduction(zap.Fields(zap.String("role", "store")))
 	if err != nil {
--- /dev/null
+++ b/cmd/hemlockctl/status.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hemlockscale/hemlockscale/catalogue"
+)
+
+// nodeTimeout bounds the question to one balancer.
+const nodeTimeout = 2 * time.Second
+
+// nodeLimit bounds a balancer's answer in bytes.
+const nodeLimit = 64 << 10
+
+// askedAtOnce bounds the questions under way.
+const askedAtOnce = 32
+
+// States of a node against the store.
+const (
+	stateInForce     = "in force"
+	stateBehind      = "behind"
+	stateAhead       = "ahead of the store"
+	stateOtherChain  = "other checksum"
+	stateUnreachable = "unreachable"
+	stateNoStore     = "store not read"
+)
+
+// nodeStatus is a balancer's answer to GET /catalogue, and what it means.
+type nodeStatus struct {
+	Address  string             `json:"address"`
+	Node     string             `json:"node"`
+	Role     string             `json:"role"`
+	Zone     string             `json:"zone"`
+	Revision uint64             `json:"revision"`
+	Checksum catalogue.Checksum `json:"checksum"`
+	State    string             `json:"state"`
+	Error    string             `json:"error,omitempty"`
+}
+
+// statusView is the store's head and every balancer's state.
+type statusView struct {
+	Store catalogue.Digest `json:"store"`
+	Error string           `json:"error,omitempty"` // of the store
+	Nodes []nodeStatus     `json:"nodes"`
+}
+
+func (c *cli) status(ctx context.Context) error {
+	ctx, cancel := c.deadline(ctx)
+	defer cancel()
+	var v statusView
+	h, _, err := catalogue.ReadHead(ctx, c.editor.Store)
+	if err != nil {
+		v.Error = err.Error()
+	}
+	v.Store = h.Digest()
+	v.Nodes = ask(ctx, strings.FieldsFunc(c.balancers, func(r rune) bool { return r == ',' || r == ' ' }))
+	good := err == nil
+	for i := range v.Nodes {
+		v.Nodes[i].State = judge(v.Nodes[i], v.Store, err == nil)
+		good = good && v.Nodes[i].State == stateInForce
+	}
+	if err := c.showStatus(v); err != nil {
+		return err
+	}
+	if !good {
+		return errBehind
+	}
+	return nil
+}
+
+func judge(n nodeStatus, store catalogue.Digest, read bool) string {
+	switch {
+	case n.Error != "":
+		return stateUnreachable
+	case !read:
+		return stateNoStore
+	case n.Revision < store.Revision:
+		return stateBehind
+	case n.Revision > store.Revision:
+		return stateAhead
+	case n.Checksum != store.Checksum:
+		return stateOtherChain
+	}
+	return stateInForce
+}
+
+// ask asks every balancer, some at a time.
+func ask(ctx context.Context, addresses []string) []nodeStatus {
+	client := &http.Client{Timeout: nodeTimeout}
+	defer client.CloseIdleConnections()
+	nodes := make([]nodeStatus, len(addresses))
+	tokens := make(chan struct{}, askedAtOnce)
+	var wg sync.WaitGroup
+	for i, a := range addresses {
+		wg.Go(func() {
+			tokens <- struct{}{}
+			nodes[i] = askOne(ctx, client, a)
+			<-tokens
+		})
+	}
+	wg.Wait()
+	return nodes
+}
+
+func askOne(ctx context.Context, client *http.Client, address string) nodeStatus {
+	n := nodeStatus{Address: address}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/catalogue", nil)
+	if err != nil {
+		n.Error = err.Error()
+		return n
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		n.Error = err.Error()
+		return n
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		n.Error = "status " + resp.Status
+		return n
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, nodeLimit)).Decode(&n); err != nil {
+		n.Error = err.Error()
+	}
+	n.Address = address
+	return n
+}
+
+func (c *cli) showStatus(v statusView) error {
+	if c.output == outJSON {
+		return writeJSON(c.out, v)
+	}
+	if v.Error != "" {
+		fmt.Fprintln(c.out, "store:", v.Error)
+	} else {
+		fmt.Fprintf(c.out, "store: revision %d, checksum %s\n", v.Store.Revision, v.Store.Checksum)
+	}
+	rows := make([]string, len(v.Nodes))
+	for i, n := range v.Nodes {
+		rows[i] = row(n.Address, n.Node, n.Role, n.Zone, n.Revision, n.Checksum, n.State)
+	}
+	return table(c.out, "ADDRESS\tNODE\tROLE\tZONE\tREVISION\tCHECKSUM\tSTATE", rows)
+}
