Edits are linearizable under racing operators and lost answers

Cause: the promise that an accepted change never reverts had no proof over the store's protocol. Change: porcupine checks the history of four racing operators over the stand-in with outages, slowness and lost answers; the stored history is dense and holds every accepted edit once. Seen red: a lost answer reported as refused, in the editor and in the client; a store that ignores the expected version.

--- /dev/null
+++ b/internal/store/linear_test.go
@@ -0,0 +1,210 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/hemlockscale/hemlockscale/catalogue"
+	standin "github.com/hemlockscale/hemlockscale/internal/standin/store"
+	"github.com/hemlockscale/hemlockscale/internal/store"
+)
+
+// request is an operation of the history: a read, a put of slots, or a
+// delete if slots is 0.
+type request struct {
+	service string
+	read    bool
+	slots   int
+}
+
+// answer is what its operator was told.
+type answer struct {
+	slots   int  // of a read, 0 if there is no entry
+	refused bool // without effect
+	missing bool // refused because there is no entry
+}
+
+// model is one entry as a register per service.
+var model = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		parts := make(map[string][]porcupine.Operation)
+		for _, op := range history {
+			service := op.Input.(request).service
+			parts[service] = append(parts[service], op)
+		}
+		var list [][]porcupine.Operation
+		for _, p := range parts {
+			list = append(list, p)
+		}
+		return list
+	},
+	Init: func() any { return 0 },
+	Step: func(state, in, out any) (bool, any) {
+		q, a := in.(request), out.(answer)
+		switch {
+		case q.read:
+			return a.slots == state.(int), state
+		case a.missing:
+			return state.(int) == 0, state
+		case a.refused:
+			return true, state
+		}
+		return true, q.slots
+	},
+}
+
+// recorder keeps the history of several operators.
+type recorder struct {
+	mu      sync.Mutex
+	start   time.Time
+	history []porcupine.Operation
+	edits   map[catalogue.EditID]bool // accepted and changed something
+	unknown int
+}
+
+func (r *recorder) add(op porcupine.Operation, id catalogue.EditID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history = append(r.history, op)
+	if id != (catalogue.EditID{}) {
+		r.edits[id] = true
+	}
+	if op.Return == math.MaxInt64 {
+		r.unknown++
+	}
+}
+
+func (r *recorder) now() int64 { return int64(time.Since(r.start)) }
+
+// operate makes n random operations over a client of its own.
+func (r *recorder) operate(t *testing.T, url string, s *standin.Server, who, n int) {
+	client, err := store.New(store.Config{URL: url})
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer client.Close()
+	st := store.ForCatalogue(client)
+	rng := rand.New(rand.NewPCG(uint64(who), 9))
+	for i := range n {
+		if who == 0 && i%4 == 0 { // the first operator also brings the faults
+			s.SetFaults(standin.Faults{
+				LoseAnswer: float64(rng.IntN(2)) * 0.4,
+				Outage:     rng.IntN(4) == 0,
+				Delay:      time.Duration(rng.IntN(2)) * time.Millisecond,
+			})
+		}
+		q := request{service: fmt.Sprintf("s%d", rng.IntN(3)), read: rng.IntN(3) == 0}
+		if rng.IntN(4) > 0 {
+			q.slots = 1 + who*1000 + i
+		}
+		call := r.now()
+		if q.read {
+			r.read(st, q, who, call)
+			continue
+		}
+		r.write(t, st, q, who, call)
+	}
+}
+
+func (r *recorder) read(st catalogue.Store, q request, who int, call int64) {
+	c, _, _, err := catalogue.Load(context.Background(), st)
+	if err != nil {
+		return
+	}
+	e, _ := c.Entry(q.service)
+	r.add(porcupine.Operation{ClientId: who, Input: q, Call: call, Output: answer{slots: e.Limits.Slots}, Return: r.now()}, catalogue.EditID{})
+}
+
+func (r *recorder) write(t *testing.T, st catalogue.Store, q request, who int, call int64) {
+	edit := catalogue.Edit{Editor: "ayse", Owner: "kanatpar", Delete: []string{q.service}}
+	if q.slots > 0 {
+		e := catalogue.Entry{Service: q.service, Owner: "kanatpar", Class: catalogue.ClassStream, Limits: catalogue.Limits{Slots: q.slots}}
+		e.Addresses = []netip.Addr{netip.AddrFrom4([4]byte{10, 0, 0, q.service[1]})}
+		edit.Delete, edit.Put = nil, []catalogue.Entry{e}
+	}
+	a, err := (&catalogue.Editor{Store: st}).Apply(context.Background(), edit)
+	op := porcupine.Operation{ClientId: who, Input: q, Call: call, Return: r.now()}
+	var (
+		refused *catalogue.RefusedError
+		unknown *catalogue.UnknownError
+		missing *catalogue.MissingError
+	)
+	switch {
+	case err == nil:
+		op.Output = answer{}
+		if len(a.Changes) == 0 { // the entry already said so
+			a.Edit = catalogue.EditID{}
+		}
+		r.add(op, a.Edit)
+		return
+	case errors.As(err, &unknown): // may take effect at any later time
+		op.Output, op.Return = answer{}, math.MaxInt64
+	case errors.As(err, &refused):
+		op.Output = answer{refused: true, missing: errors.As(err, &missing)}
+	default:
+		t.Errorf("untyped error %v", err)
+		return
+	}
+	r.add(op, catalogue.EditID{})
+}
+
+// Symptom: an accepted edit is not there, a refused one is, or one is there
+// twice.
+// Events: four operators race on three entries while the store goes down,
+// is slow and loses answers after the write took effect.
+// Cause: a write repeated blindly, or an outcome told without reading back.
+func TestEditsAreLinearizable(t *testing.T) {
+	s := standin.New(standin.Config{Reads: 1 << 20, Writes: 1 << 20})
+	hs := httptest.NewServer(s.Handler())
+	defer hs.Close()
+	r := &recorder{start: time.Now(), edits: make(map[catalogue.EditID]bool)}
+	var wg sync.WaitGroup
+	for who := range 4 {
+		wg.Go(func() { r.operate(t, hs.URL, s, who, 60) })
+	}
+	wg.Wait()
+	if res := porcupine.CheckOperationsTimeout(model, r.history, time.Minute); res != porcupine.Ok {
+		t.Fatalf("history of %d operations is %v", len(r.history), res)
+	}
+	s.SetFaults(standin.Faults{})
+	checkDense(t, hs.URL, r)
+	t.Logf("%d operations, %d accepted edits, %d unknown", len(r.history), len(r.edits), r.unknown)
+}
+
+// checkDense reads the whole history: revisions without gaps, every accepted
+// edit in it, each edit ID once.
+func checkDense(t *testing.T, url string, r *recorder) {
+	t.Helper()
+	client, err := store.New(store.Config{URL: url})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	changes, oldest, err := (&catalogue.Editor{Store: store.ForCatalogue(client)}).History(context.Background(), 0)
+	if err != nil || oldest != 0 {
+		t.Fatalf("history from %d: %v", oldest, err)
+	}
+	seen := make(map[catalogue.EditID]bool)
+	for i, ch := range changes {
+		if ch.Revision != uint64(i+1) || seen[ch.Edit] {
+			t.Fatalf("change %d: revision %d, edit %s", i, ch.Revision, ch.Edit)
+		}
+		seen[ch.Edit] = true
+	}
+	for id := range r.edits {
+		if !seen[id] {
+			t.Fatalf("accepted edit %s is not in the store", id)
+		}
+	}
+}
