--- a/catalogue/editor.go
+++ b/catalogue/editor.go
@@ -12,6 +12,8 @@
 type Editor struct {
 	Store Store
 	Now   func() time.Time // time.Now if nil
+
+	sizes sizes // defaultSizes if zero
 }
 
 // Accepted reports an edit that is in the store. Every node will have it in
@@ -141,6 +143,13 @@
 	return time.Now()
 }
 
+func (ed *Editor) limits() sizes {
+	if ed.sizes == (sizes{}) {
+		return defaultSizes
+	}
+	return ed.sizes
+}
+
 // fresh refuses an edit of a service that changed after the edit's base.
 // Without it the slower of two operators would silently undo the other.
 func (ed *Editor) fresh(ctx context.Context, h Head, e Edit) error {
@@ -206,7 +215,7 @@
 // *RefusedError once the edit can no longer take effect, and an *UnknownError
 // while it still can or when it is older than the kept history.
 func (ed *Editor) Settle(ctx context.Context, id EditID) (Accepted, error) {
-	h, _, err := readHead(ctx, ed.Store)
+	h, _, err := ReadHead(ctx, ed.Store)
 	if err != nil {
 		return Accepted{}, &UnknownError{id, err}
 	}
@@ -233,7 +242,7 @@
 // History returns the kept changes above a revision, and the oldest revision
 // that it could have been asked for.
 func (ed *Editor) History(ctx context.Context, after uint64) ([]Change, uint64, error) {
-	h, _, err := readHead(ctx, ed.Store)
+	h, _, err := ReadHead(ctx, ed.Store)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/catalogue/layout.go
+++ b/catalogue/layout.go
@@ -14,18 +14,17 @@
 // HeadKey is the one key whose compare-and-swap orders every edit.
 const HeadKey = "catalogue/head"
 
-// Sizes of the layout in bytes. The head is read once a change by every
-// reader, so its tail stays small; pages are read only when a reader starts
-// or has fallen behind.
-const (
-	tailLimit = 16 << 10  // encoded changes in the head
-	logLimit  = 512 << 10 // log pages behind the base before a new base is written
-	pageLimit = 768 << 10 // one page of the base
-)
+// sizes bounds the parts of the layout. The head is read once a change by
+// every reader, so its tail stays small; pages are read only when a reader
+// starts or has fallen behind.
+type sizes struct {
+	tail int // bytes of changes in the head
+	logs int // bytes of log pages behind the base before a new base is written
+	page int // bytes of one page of the base
+	kept int // log pages that stay readable for the history
+}
 
-// keptLogs is how many log pages stay readable for the history, those behind
-// the base included.
-const keptLogs = 64
+var defaultSizes = sizes{tail: 16 << 10, logs: 512 << 10, page: 768 << 10, kept: 64}
 
 // headFormat changes when older processes cannot read the head.
 const headFormat = 1
@@ -89,6 +88,9 @@
 	return h, nil
 }
 
+// Digest returns revision and checksum.
+func (h Head) Digest() Digest { return Digest{Revision: h.Revision, Checksum: h.Checksum} }
+
 // oldest returns the revision before the first change that the head can
 // still reach.
 func (h Head) oldest() uint64 {
@@ -101,9 +103,9 @@
 	return h.Revision
 }
 
-// readHead returns the head and its version, an empty head at version 0 if
+// ReadHead returns the head and its version, an empty head at version 0 if
 // the store holds none.
-func readHead(ctx context.Context, st Store) (Head, uint64, error) {
+func ReadHead(ctx context.Context, st Store) (Head, uint64, error) {
 	v, err := st.Get(ctx, HeadKey)
 	if isKind(err, KindNotFound) {
 		return Head{Format: headFormat, Next: 1}, 0, nil
@@ -172,7 +174,11 @@
 		}
 		whole.Write(data)
 	}
-	return ReadSnapshot(&whole)
+	s, err := ReadSnapshot(&whole)
+	if err != nil {
+		return nil, err
+	}
+	return s.Catalogue(), nil
 }
 
 // writePage writes an immutable page. A conflict means that the page is
@@ -189,13 +195,13 @@
 	return pageRef{key, len(data)}, nil
 }
 
-func writeBase(ctx context.Context, st Store, c *Catalogue) (baseRef, error) {
+func writeBase(ctx context.Context, st Store, c *Catalogue, page int) (baseRef, error) {
 	var whole bytes.Buffer
-	if err := c.WriteSnapshot(&whole); err != nil {
+	if err := c.Snapshot().Write(&whole); err != nil {
 		return baseRef{}, err
 	}
 	b := baseRef{Revision: c.revision}
-	for part := range slices.Chunk(whole.Bytes(), pageLimit) {
+	for part := range slices.Chunk(whole.Bytes(), page) {
 		p, err := writePage(ctx, st, "base", c, part)
 		if err != nil {
 			return baseRef{}, err
@@ -221,7 +227,7 @@
 // the head's version, 0 if the store holds no catalogue.
 func Load(ctx context.Context, st Store) (*Catalogue, Head, uint64, error) {
 	for {
-		h, version, err := readHead(ctx, st)
+		h, version, err := ReadHead(ctx, st)
 		if err != nil {
 			return nil, Head{}, 0, err
 		}
@@ -235,7 +241,7 @@
 		if !isKind(err, KindNotFound) {
 			return nil, Head{}, 0, err
 		}
-		if _, now, again := readHead(ctx, st); again != nil || now == version {
+		if _, now, again := ReadHead(ctx, st); again != nil || now == version {
 			return nil, Head{}, 0, &LayoutError{HeadKey, errors.Join(errors.New("a page is missing"), err)}
 		}
 	}
