--- /dev/null
+++ b/cmd/hemlock-agent/main.go
@@ -0,0 +1,127 @@
+// Command hemlock-agent is the process beside a backend server: it ends QUIC
+// and TLS for its service and passes requests on.
+package main
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hemlockscale/hemlockscale/internal/agent"
+	"github.com/hemlockscale/hemlockscale/internal/daemon"
+	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+	"github.com/hemlockscale/hemlockscale/internal/settings"
+)
+
+const program = "hemlock-agent"
+
+// config is the checked settings.
+type config struct {
+	agent  agent.Config
+	daemon daemon.Config
+	drain  time.Duration
+}
+
+func main() {
+	cfg, err := parse(os.Args[1:])
+	if err != nil {
+		settings.Exit(program, err)
+	}
+	if err := serve(cfg); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+		os.Exit(1)
+	}
+}
+
+func parse(args []string) (cfg config, err error) {
+	s := settings.New(program, "HEMLOCK_AGENT", "serves one service's callers from one backend server")
+	a := &cfg.agent
+	internal := s.String("internal", "", "UDP address for balancers and agents, an IPv4 address of this VM (required)")
+	seeds := s.String("balancers", "", "internal addresses of some balancers, separated by commas (required)")
+	key := s.String("fleet-key", "", "fleet keys NUMBER:HEX, two at most while one is rotated (required, secret; better set in the environment)")
+	backend := s.String("backend", "http://127.0.0.1:8080", "URL of the backend server")
+	cert := s.String("tls-cert", "", "the service's certificate chain, PEM text or a file of it (required)")
+	certKey := s.String("tls-key", "", "the certificate's private key, PEM text or a file of it (required, secret)")
+	s.StringVar(&a.Service, "service", "", "name of the service in the catalogue (required)")
+	s.StringVar(&a.Zone, "zone", "", "availability zone of this VM (required)")
+	s.StringVar(&a.Region, "region", "", "region of this VM")
+	s.DurationVar(&a.Ramp.Duration, "ramp", 0, "cold start: time in which the backend server's share of new flows grows to its whole")
+	s.IntVar(&a.Ramp.Steps, "ramp-steps", 4, "cold start: steps of that growth")
+	s.DurationVar(&cfg.drain, "drain", time.Hour, "limit of a graceful stop; open flows run to their end within it")
+	admin := s.String("admin", "127.0.0.1:0", "TCP address of metrics, readiness and status")
+	s.StringVar(&cfg.daemon.Level, "log-level", "info", "debug, info, warn or error")
+	if err = s.Parse(args); err != nil {
+		return cfg, err
+	}
+	cfg.daemon.Role = "agent"
+	return cfg, settings.First(
+		func() error { return settings.Required("internal", *internal) },
+		func() error { return settings.Required("service", a.Service) },
+		func() error { return settings.Required("zone", a.Zone) },
+		func() error { return settings.Required("balancers", *seeds) },
+		func() error { return settings.Required("fleet-key", *key) },
+		func() error { return settings.Required("tls-cert", *cert) },
+		func() error { return settings.Required("tls-key", *certKey) },
+		func() (err error) { a.Internal, err = settings.AddrPort("internal", *internal); return },
+		func() (err error) { a.Seeds, err = settings.AddrPorts("balancers", *seeds); return },
+		func() (err error) { cfg.daemon.Admin, err = settings.AddrPort("admin", *admin); return },
+		func() (err error) { a.Keys, err = fleetkey.Parse(*key); return },
+		func() (err error) { a.Backend, err = backendURL(*backend); return },
+		func() (err error) { a.Certificate, err = certificate(*cert, *certKey); return },
+	)
+}
+
+func backendURL(s string) (*url.URL, error) {
+	u, err := url.Parse(s)
+	if err != nil || u.Scheme != "http" || u.Host == "" || u.Port() == "" {
+		return nil, &settings.Error{Setting: "backend", Reason: fmt.Sprintf("%q is no URL with http and a port", s), Remedy: "write it like http://127.0.0.1:8080"}
+	}
+	return u, nil
+}
+
+// certificate reads both settings as PEM text, or as files that hold it.
+func certificate(cert, key string) (tls.Certificate, error) {
+	c, err := pemText("tls-cert", cert)
+	if err != nil {
+		return tls.Certificate{}, err
+	}
+	k, err := pemText("tls-key", key)
+	if err != nil {
+		return tls.Certificate{}, err
+	}
+	pair, err := tls.X509KeyPair(c, k)
+	if err != nil {
+		return pair, &settings.Error{Setting: "tls-cert", Reason: err.Error(), Remedy: "give the chain and the key that belong together, in PEM"}
+	}
+	return pair, nil
+}
+
+func pemText(setting, value string) ([]byte, error) {
+	if strings.HasPrefix(value, "-----BEGIN") {
+		return []byte(value), nil
+	}
+	b, err := os.ReadFile(value)
+	if err != nil {
+		return nil, &settings.Error{Setting: setting, Reason: err.Error(), Remedy: "give PEM text or a file that this process may read"}
+	}
+	return b, nil
+}
+
+func serve(cfg config) error {
+	d, err := daemon.New(cfg.daemon)
+	if err != nil {
+		return err
+	}
+	a, err := agent.New(cfg.agent, d.Log, d.Registry)
+	if err != nil {
+		return err
+	}
+	d.ReadyWhen(a.Ready)
+	d.Log.Info("started", zap.String("service", cfg.agent.Service), zap.String("zone", cfg.agent.Zone), zap.Stringer("internal", a.Internal()), zap.String("admin", d.AdminAddr()))
+	return d.Run(a, cfg.drain)
+}
--- /dev/null
+++ b/cmd/hemlock-balancer/main.go
@@ -0,0 +1,83 @@
+// Command hemlock-balancer is the entry process: callers' packets come in here
+// and are forwarded to agents.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hemlockscale/hemlockscale/internal/balancer"
+	"github.com/hemlockscale/hemlockscale/internal/daemon"
+	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+	"github.com/hemlockscale/hemlockscale/internal/settings"
+	"github.com/hemlockscale/hemlockscale/internal/store"
+)
+
+const program = "hemlock-balancer"
+
+// config is the checked settings.
+type config struct {
+	balancer balancer.Config
+	daemon   daemon.Config
+	drain    time.Duration
+}
+
+func main() {
+	cfg, err := parse(os.Args[1:])
+	if err != nil {
+		settings.Exit(program, err)
+	}
+	if err := serve(cfg); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+		os.Exit(1)
+	}
+}
+
+func parse(args []string) (cfg config, err error) {
+	s := settings.New(program, "HEMLOCK_BALANCER", "forwards callers' packets to agents")
+	public := s.String("public", "0.0.0.0:443", "UDP address that callers' packets come to")
+	internal := s.String("internal", "", "UDP address for the system's other processes, an IPv4 address of this VM (required)")
+	seeds := s.String("seeds", "", "internal addresses of some other balancers, separated by commas")
+	storeURL := s.String("store", "", "URL of the platform's key-value service (required)")
+	key := s.String("fleet-key", "", "fleet keys NUMBER:HEX, two at most while one is rotated (required, secret; better set in the environment)")
+	s.StringVar(&cfg.balancer.Zone, "zone", "", "availability zone of this VM (required)")
+	s.StringVar(&cfg.balancer.Region, "region", "", "region of this VM")
+	s.DurationVar(&cfg.balancer.Linger, "linger", 3*time.Second, "how long to go on forwarding after SIGTERM")
+	s.DurationVar(&cfg.drain, "drain", 30*time.Second, "limit of a graceful stop")
+	admin := s.String("admin", "127.0.0.1:0", "TCP address of metrics, readiness and status")
+	s.StringVar(&cfg.daemon.Level, "log-level", "info", "debug, info, warn or error")
+	if err = s.Parse(args); err != nil {
+		return cfg, err
+	}
+	cfg.daemon.Role = "balancer"
+	return cfg, settings.First(
+		func() error { return settings.Required("internal", *internal) },
+		func() error { return settings.Required("zone", cfg.balancer.Zone) },
+		func() error { return settings.Required("fleet-key", *key) },
+		func() error { return settings.Required("store", *storeURL) },
+		func() (err error) { cfg.balancer.Public, err = settings.AddrPort("public", *public); return },
+		func() (err error) { cfg.balancer.Internal, err = settings.AddrPort("internal", *internal); return },
+		func() (err error) { cfg.balancer.Seeds, err = settings.AddrPorts("seeds", *seeds); return },
+		func() (err error) { cfg.daemon.Admin, err = settings.AddrPort("admin", *admin); return },
+		func() (err error) { cfg.balancer.Keys, err = fleetkey.Parse(*key); return },
+		func() (err error) { cfg.balancer.Store, err = store.New(store.Config{URL: *storeURL}); return },
+	)
+}
+
+func serve(cfg config) error {
+	d, err := daemon.New(cfg.daemon)
+	if err != nil {
+		return err
+	}
+	b, err := balancer.New(cfg.balancer, d.Log, d.Registry)
+	if err != nil {
+		return err
+	}
+	d.ReadyWhen(b.Ready)
+	d.Mux.HandleFunc("GET /catalogue", b.ServeStatus)
+	d.Log.Info("started", zap.String("zone", cfg.balancer.Zone), zap.Stringer("public", b.Public()), zap.Stringer("internal", b.Internal()), zap.String("admin", d.AdminAddr()))
+	return d.Run(b, cfg.drain)
+}
--- /dev/null
+++ b/cmd/hemlock-demo/main.go
@@ -0,0 +1,144 @@
+// Command hemlock-demo shows the whole path in one process: both users'
+// deployments in small, under planned changes and a balancer's death while
+// feeds and downloads are open. It ends with a table, and with exit code 1 if
+// a promise broke.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/internal/daemon"
+	"github.com/hemlockscale/hemlockscale/internal/settings"
+	"github.com/hemlockscale/hemlockscale/internal/standin/deployment"
+)
+
+const (
+	program    = "hemlock-demo"
+	readyLimit = 15 * time.Second
+	exitBroken = 1
+)
+
+// config is the checked settings.
+type config struct {
+	run   time.Duration
+	seed  uint64
+	level string
+}
+
+func main() {
+	cfg, err := parse(os.Args[1:])
+	if err != nil {
+		settings.Exit(program, err)
+	}
+	kept, err := demonstrate(cfg)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+		os.Exit(exitBroken)
+	}
+	if !kept {
+		os.Exit(exitBroken)
+	}
+}
+
+func parse(args []string) (cfg config, err error) {
+	s := settings.New(program, "HEMLOCK_DEMO", "shows the whole path in one process")
+	s.DurationVar(&cfg.run, "run", 12*time.Second, "how long the load runs, 6s at least")
+	s.Uint64Var(&cfg.seed, "seed", 1, "seed of the fabric's choices")
+	s.StringVar(&cfg.level, "log-level", "error", "debug, info, warn or error")
+	if err = s.Parse(args); err != nil {
+		return cfg, err
+	}
+	if cfg.run < 6*time.Second {
+		return cfg, &settings.Error{Setting: "run", Reason: "too short for the planned changes", Remedy: "give 6s or more"}
+	}
+	return cfg, nil
+}
+
+// kanatpar is the aircraft parts exchange: four availability zones.
+func kanatpar(seed uint64, log *zap.Logger) deployment.Config {
+	return deployment.Config{
+		Net: 201, Seed: seed, Log: log, Balancers: 4,
+		Zones: []string{"etimesgut-a", "etimesgut-b", "odtu-tekno", "sincan-dc"},
+		Services: []deployment.Service{
+			{Name: "listing", Owner: "exchange", Class: catalogue.ClassInteractive, Backends: 7, Work: 5 * time.Millisecond},
+			{Name: "records", Owner: "archive", Class: catalogue.ClassDownload, Backends: 4, Work: 5 * time.Millisecond},
+		},
+	}
+}
+
+// bocina is the voice skill store: three availability zones.
+func bocina(seed uint64, log *zap.Logger) deployment.Config {
+	return deployment.Config{
+		Net: 202, Seed: seed, Log: log, Balancers: 3,
+		Zones: []string{"qro-a", "qro-b", "qro-c"},
+		Services: []deployment.Service{
+			{Name: "catalogo", Owner: "skills", Class: catalogue.ClassInteractive, Backends: 7, Work: 5 * time.Millisecond},
+			{Name: "paquetes", Owner: "packages", Class: catalogue.ClassDownload, Backends: 3, Work: 5 * time.Millisecond},
+		},
+	}
+}
+
+func demonstrate(cfg config) (kept bool, err error) {
+	log, err := daemon.NewLog("demo", cfg.level)
+	if err != nil {
+		return false, err
+	}
+	users := []*user{
+		newUser("Kanatpar", kanatpar(cfg.seed, log)),
+		newUser("Tienda Bocina Voz", bocina(cfg.seed, log)),
+	}
+	start := time.Now()
+	say := func(format string, args ...any) {
+		fmt.Printf("%5.1fs  %s\n", time.Since(start).Seconds(), fmt.Sprintf(format, args...))
+	}
+	for _, u := range users {
+		defer u.close()
+		if err := u.start(); err != nil {
+			return false, err
+		}
+		say("%s: %d balancers, %d agents ready", u.name, len(u.dep.Balancers), len(u.dep.Agents))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 4*cfg.run)
+	defer cancel()
+	for _, u := range users {
+		u.load.begin(ctx, cfg.run)
+	}
+	if err := change(ctx, users, cfg.run, say); err != nil {
+		return false, err
+	}
+	for _, u := range users {
+		u.load.wait()
+	}
+	say("load ended")
+	return report(os.Stdout, users), nil
+}
+
+// change makes the planned changes and the failure while the load runs.
+func change(ctx context.Context, users []*user, run time.Duration, say func(string, ...any)) error {
+	steps := []struct {
+		what string
+		do   func(*user, context.Context) error
+	}{
+		{"edits a catalogue entry", (*user).edit},
+		{"drains an agent and its backend server", (*user).drainAgent},
+		{"adds a balancer and retires another", (*user).replaceBalancer},
+		{"loses a balancer without warning", (*user).killBalancer},
+	}
+	pause := run / time.Duration(len(steps)+2)
+	for _, step := range steps {
+		time.Sleep(pause)
+		for _, u := range users {
+			say("%s %s", u.name, step.what)
+			if err := step.do(u, ctx); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/hemlock-demo/report.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+// forceLimit is the time in which an accepted edit must be in force.
+const forceLimit = 5 * time.Second
+
+// report prints the table and returns whether every promise was kept.
+func report(w io.Writer, users []*user) (kept bool) {
+	kept = true
+	fmt.Fprintln(w)
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "service\tcalls\twhole\trefused\tunknown\tbroken\twrong\tlong flows\twhole\tran twice\tlost\tmax/mean\tp50\tp99")
+	for _, u := range users {
+		for _, s := range u.cfg.Services {
+			t := u.load.tally[s.Name]
+			twice, lost := compare(t, u.load.journaled(s.Name))
+			fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%s\t%s\n",
+				s.Name, t.calls, t.whole, t.refused, t.unknown, t.broken, t.wrong, t.flows, t.wholeFlows,
+				twice, lost, imbalance(t.byServer), microseconds(t.latency.ValueAtQuantile(50)), microseconds(t.latency.ValueAtQuantile(99)))
+			kept = kept && t.broken == 0 && t.wrong == 0 && t.flows == t.wholeFlows && twice == 0 && lost == 0
+		}
+	}
+	tw.Flush()
+	fmt.Fprintln(w)
+	for _, u := range users {
+		fmt.Fprintf(w, "%s: catalogue edit in force on every balancer after %v\n", u.name, u.force.Round(time.Millisecond))
+		kept = kept && u.force <= forceLimit
+		for _, s := range u.cfg.Services {
+			for _, p := range u.load.tally[s.Name].problems {
+				fmt.Fprintf(w, "%s: %s\n", s.Name, p)
+			}
+		}
+	}
+	if kept {
+		fmt.Fprintln(w, "every promise kept")
+	} else {
+		fmt.Fprintln(w, "A PROMISE BROKE")
+	}
+	return kept
+}
+
+// compare holds reservations that callers were told of against the journals of
+// the backend servers.
+func compare(t *tally, runs map[string]int) (twice, lost int) {
+	for _, n := range runs {
+		if n > 1 {
+			twice++
+		}
+	}
+	for key := range t.accepted {
+		if runs[key] == 0 {
+			lost++
+		}
+	}
+	return twice, lost
+}
+
+// imbalance returns the calls of the busiest backend server over the mean.
+func imbalance(byServer map[string]int) float64 {
+	total, most := 0, 0
+	for _, n := range byServer {
+		total += n
+		most = max(most, n)
+	}
+	if total == 0 {
+		return 0
+	}
+	return float64(most) * float64(len(byServer)) / float64(total)
+}
+
+func microseconds(n int64) time.Duration {
+	return (time.Duration(n) * time.Microsecond).Round(100 * time.Microsecond)
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,16 @@
 	// leaveNotice is how long an agent that leaves goes on taking requests,
 	// so that balancers hear of it before it refuses any.
 	leaveNotice = time.Second
+	// flushTime is how long an agent that leaves waits, after its last answer
+	// was written, for callers to close their connections. A caller closes
+	// once it has everything; without this time the end of the last answers
+	// would be lost with the connection. Callers whose close was itself lost
+	// would hold the agent until the idle timeout, so the wait is bounded.
+	flushTime = 3 * time.Second
+	// noBufferWarning is the variable that keeps quic-go from writing to
+	// standard error that it can't size the buffers of a virtual connection.
+	// The internal socket has its buffers sized already.
+	noBufferWarning = "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING"
 )
 
 // Config is the settings of an agent.
@@ -70,9 +81,10 @@
 	gate    *gate
 	backend *backend
 	entry   atomic.Pointer[catalogue.Entry]
+	ready   atomic.Bool
 	metrics *metrics
 	flows   *flows
-	control *control
+	control *duty
 
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -100,7 +112,7 @@
 		socket.Close()
 		return nil, err
 	}
-	if a.control, err = newControl(a); err != nil {
+	if a.control, err = newDuty(a); err != nil {
 		a.Close()
 		return nil, err
 	}
@@ -129,6 +141,7 @@
 	// Sessions resumed by tickets are encrypted under the service's key only,
 	// and 0-RTT stays off: early data can be replayed, and a replayed request
 	// would run twice.
+	os.Setenv(noBufferWarning, "true")
 	tlsConfig := http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{a.cfg.Certificate}})
 	a.ln, err = a.quic.ListenEarly(tlsConfig, &quic.Config{
 		MaxIdleTimeout:          idleTimeout,
@@ -169,10 +182,17 @@
 	a.gate.do(func(g *admission.Controller, now time.Time) {
 		g.Configure(now, admission.FromLimits(e.Limits, newRand()))
 	})
+	a.flows.conns.Store(int64(connectionLimit(e)))
 	a.conn.service.Store(e.Number)
 	a.log.Info("catalogue entry in force", zap.Uint64("version", e.Version), zap.Uint32("number", e.Number))
 }
 
+// Ready reports whether the agent takes new flows.
+func (a *Agent) Ready() bool { return a.ready.Load() }
+
+// Internal returns the address that other processes use.
+func (a *Agent) Internal() netip.AddrPort { return a.cfg.Internal }
+
 // Run does the agent's duties until Close.
 func (a *Agent) Run() error {
 	var g run.Group
@@ -202,13 +222,18 @@
 	case <-time.After(leaveNotice):
 	case <-ctx.Done():
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		a.http.Shutdown(ctx)
 	}()
 	a.gate.drain(ctx)
-	<-done
+	select {
+	case <-done:
+	case <-time.After(flushTime):
+	}
 }
 
 // Close ends the agent at once.
@@ -239,3 +264,10 @@
 
 // ConnectionIDLen implements quic.ConnectionIDGenerator.
 func (g *idGenerator) ConnectionIDLen() int { return connid.Len }
+
+func connectionLimit(e *catalogue.Entry) int {
+	if e.Limits.Connections == 0 {
+		return catalogue.DefaultConnections
+	}
+	return e.Limits.Connections
+}
--- /dev/null
+++ b/internal/agent/control.go
@@ -0,0 +1,278 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/hemlockscale/hemlockscale/admission"
+	"github.com/hemlockscale/hemlockscale/internal/control"
+	"github.com/hemlockscale/hemlockscale/internal/seal"
+	"github.com/hemlockscale/hemlockscale/membership"
+)
+
+const (
+	controlTick = 50 * time.Millisecond
+	// entryRetry is how often the catalogue entry is asked for until it is
+	// known, and again after an ack has told of a newer catalogue.
+	entryRetry = 250 * time.Millisecond
+	// healthInterval is how often the backend server is connected to.
+	healthInterval = 500 * time.Millisecond
+	healthTimeout  = 400 * time.Millisecond
+	// healthFailures is how many connects in a row must fail before the
+	// backend server counts as gone: one lost packet must not take it out.
+	healthFailures = 2
+)
+
+// duty is the control duty: it keeps the catalogue entry, announces the agent
+// and judges the backend server. One goroutine runs it.
+type duty struct {
+	a         *Agent
+	link      *control.Link
+	announcer *membership.Announcer // nil until the entry is known
+	rng       *rand.Rand
+	leaves    chan struct{}
+
+	revision uint64 // catalogue revision that the entry is known to be of
+	askedAt  time.Time
+	health   chan bool
+	readyAt  time.Time // when the backend server became reachable; zero while it is not
+	left     bool
+}
+
+func newDuty(a *Agent) (*duty, error) {
+	link, err := control.NewLink(a.cfg.Keys, a.socket)
+	if err != nil {
+		return nil, err
+	}
+	return &duty{
+		a:      a,
+		link:   link,
+		rng:    newRand(),
+		leaves: make(chan struct{}, 1),
+		health: make(chan bool, 1),
+	}, nil
+}
+
+// leave makes the duty announce that the agent leaves.
+func (d *duty) leave() {
+	select {
+	case d.leaves <- struct{}{}:
+	default: // announced already
+	}
+}
+
+func (d *duty) run(ctx context.Context) {
+	go d.watchBackend(ctx)
+	tick := time.NewTicker(controlTick)
+	defer tick.Stop()
+	for {
+		select {
+		case m := <-d.a.conn.control:
+			d.receive(time.Now(), m)
+		case up := <-d.health:
+			d.judge(time.Now(), up)
+		case <-d.leaves:
+			d.left = true
+			d.announceState(time.Now())
+		case now := <-tick.C:
+			d.tick(now)
+		case <-ctx.Done():
+			return
+		}
+		d.flush()
+	}
+}
+
+func (d *duty) tick(now time.Time) {
+	d.askEntry(now)
+	if d.announcer == nil {
+		return
+	}
+	if !d.readyAt.IsZero() {
+		d.announcer.SetWeight(now, d.a.cfg.Ramp.Weight(now.Sub(d.readyAt)))
+	}
+	d.announcer.Tick(now)
+}
+
+func (d *duty) flush() {
+	if d.announcer == nil {
+		return
+	}
+	for _, e := range d.announcer.Outbox() {
+		b, err := membership.Encode(e.Msg)
+		if err != nil {
+			d.a.log.Error("membership message not sent", zap.Error(err))
+			continue
+		}
+		d.link.SendBytes(seal.TopicMembership, e.To, b)
+	}
+}
+
+func (d *duty) receive(now time.Time, m control.Datagram) {
+	topic, b, ok := d.link.Open(m)
+	if !ok {
+		d.a.metrics.controlBad.Inc()
+		return
+	}
+	switch topic {
+	case seal.TopicMembership:
+		d.receiveMembership(now, m.From, b)
+	case seal.TopicEntryIs:
+		d.receiveEntry(now, b)
+	default:
+		d.a.metrics.controlBad.Inc()
+	}
+}
+
+func (d *duty) receiveMembership(now time.Time, from netip.AddrPort, b []byte) {
+	msg, err := membership.Decode(b)
+	if err != nil {
+		d.a.metrics.controlBad.Inc()
+		return
+	}
+	if d.announcer != nil {
+		d.announcer.Receive(now, from, msg)
+	}
+}
+
+// askEntry asks for the catalogue entry until it is known, and again while
+// some balancer has a newer catalogue than the answer that came last.
+func (d *duty) askEntry(now time.Time) {
+	if now.Sub(d.askedAt) < entryRetry {
+		return
+	}
+	request := control.EntryRequest{Service: d.a.cfg.Service}
+	to := netip.AddrPort{}
+	if d.announcer != nil {
+		request.Known = d.a.entry.Load().Version
+		var newest uint64
+		newest, to = d.announcer.Entry()
+		if newest <= d.revision {
+			return
+		}
+	}
+	if !to.IsValid() {
+		if len(d.a.cfg.Seeds) == 0 {
+			return
+		}
+		to = d.a.cfg.Seeds[d.rng.IntN(len(d.a.cfg.Seeds))]
+	}
+	d.askedAt = now
+	d.link.Send(seal.TopicEntry, to, request)
+}
+
+func (d *duty) receiveEntry(now time.Time, b []byte) {
+	var answer control.EntryAnswer
+	if err := cbor.Unmarshal(b, &answer); err != nil {
+		d.a.metrics.controlBad.Inc()
+		return
+	}
+	// An older balancer may answer after a newer one: the entry in force
+	// never goes back.
+	if answer.Revision < d.revision {
+		return
+	}
+	if e := answer.Entry; e != nil && e.Service == d.a.cfg.Service {
+		if old := d.a.entry.Load(); old == nil || e.Version > old.Version {
+			d.a.setEntry(e)
+		}
+	}
+	if d.a.entry.Load() == nil {
+		return
+	}
+	d.revision = answer.Revision
+	if d.announcer == nil {
+		d.startAnnouncing(now)
+	}
+}
+
+func (d *duty) startAnnouncing(now time.Time) {
+	cfg := d.a.cfg
+	announcer, err := membership.NewAnnouncer(membership.AnnouncerConfig{
+		Self: membership.Record{
+			Addr:        cfg.Internal,
+			Role:        membership.RoleAgent,
+			State:       membership.StateStarting,
+			Weight:      cfg.Ramp.Weight(0),
+			Service:     d.a.entry.Load().Number,
+			Incarnation: uint64(now.UnixNano()),
+			Zone:        cfg.Zone,
+			Region:      cfg.Region,
+		},
+		Seeds: cfg.Seeds,
+		Seed:  d.rng.Uint64(),
+	})
+	if err != nil {
+		d.a.log.Error("can't announce", zap.Error(err))
+		return
+	}
+	d.announcer = announcer
+	d.announceState(now)
+}
+
+// announceState announces what the agent can do now.
+func (d *duty) announceState(now time.Time) {
+	if d.announcer == nil {
+		return
+	}
+	state := membership.StateReady
+	switch {
+	case d.left:
+		state = membership.StateLeaving
+	case d.readyAt.IsZero():
+		state = membership.StateDraining
+	}
+	d.announcer.SetState(now, state)
+	d.a.ready.Store(state == membership.StateReady)
+	d.a.log.Info("state", zap.Stringer("state", state))
+}
+
+// judge takes in whether the backend server can be reached.
+func (d *duty) judge(now time.Time, up bool) {
+	if up == !d.readyAt.IsZero() {
+		return
+	}
+	d.readyAt = time.Time{}
+	if up {
+		d.readyAt = now
+	}
+	d.a.gate.do(func(c *admission.Controller, now time.Time) { c.SetBackend(now, up) })
+	d.a.log.Info("backend server", zap.Bool("reachable", up))
+	d.announceState(now)
+}
+
+// watchBackend connects to the backend server at intervals. The agent's own
+// connect goes before the health endpoint, which may lag or mislead.
+func (d *duty) watchBackend(ctx context.Context) {
+	dialer := &net.Dialer{Timeout: healthTimeout}
+	tick := time.NewTicker(healthInterval)
+	defer tick.Stop()
+	failures := 0
+	for {
+		conn, err := dialer.DialContext(ctx, "tcp", d.a.cfg.Backend.Host)
+		if err == nil {
+			conn.Close()
+			failures = 0
+		} else {
+			failures++
+		}
+		if failures == 0 || failures >= healthFailures {
+			select {
+			case d.health <- failures == 0:
+			case <-ctx.Done():
+				return
+			}
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hemlockscale/hemlockscale/admission"
+	"github.com/hemlockscale/hemlockscale/catalogue"
 	"github.com/hemlockscale/hemlockscale/connid"
 	"github.com/hemlockscale/hemlockscale/internal/frame"
 	"github.com/hemlockscale/hemlockscale/internal/quicwire"
@@ -16,16 +17,18 @@
 // flows decides which new flows this agent keeps. handOn is called by the
 // receive duty alone, load by any goroutine.
 type flows struct {
-	gate    *gate
 	decider *placement.Decider
 	packet  quicwire.Packet
-	slots   atomic.Int64
-	conns   atomic.Int64
+	conns   atomic.Int64 // limit of the catalogue entry
+	level   atomic.Uint32
 	leaving atomic.Bool
 }
 
 func newFlows(g *gate) *flows {
-	return &flows{gate: g, decider: placement.NewDecider(rand.Uint64())}
+	f := &flows{decider: placement.NewDecider(rand.Uint64(), placement.DeciderOptions{})}
+	f.conns.Store(catalogue.DefaultConnections)
+	g.changed = f.update
+	return f
 }
 
 // handOn implements firstPacketPolicy.
@@ -39,19 +42,24 @@
 	return d.To, d.HandOn
 }
 
-func (f *flows) occupancy() placement.Occupancy {
-	return f.usage(f.gate.load()).Occupancy()
-}
-
-func (f *flows) usage(l admission.Load) placement.Usage {
-	return placement.Usage{
+// update takes in the gate's counts after each change of them.
+func (f *flows) update(l admission.Load) {
+	usage := placement.Usage{
 		SlotsBusy:      l.Slots,
 		Slots:          l.Limit,
 		Queue:          l.Queued,
 		Connections:    l.Connections,
 		MaxConnections: int(f.conns.Load()),
-		Draining:       l.Draining || f.leaving.Load(),
+		Draining:       l.Draining,
+	}
+	f.level.Store(uint32(usage.Occupancy()))
+}
+
+func (f *flows) occupancy() placement.Occupancy {
+	if f.leaving.Load() {
+		return placement.Full
 	}
+	return placement.Occupancy(f.level.Load())
 }
 
 // load implements firstPacketPolicy.
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -18,7 +18,8 @@
 	nextID  uint64
 	waiting map[uint64]chan admission.Effect
 	effects []admission.Effect
-	open    sync.WaitGroup // requests between enter and the end of their permit
+	changed func(admission.Load) // told the counts after each change of them
+	open    sync.WaitGroup       // requests between enter and the end of their permit
 }
 
 func newGate(cfg admission.Config) *gate {
@@ -116,6 +117,9 @@
 			wait <- e
 		}
 	}
+	if g.changed != nil {
+		g.changed(g.ctrl.Load(time.Now()))
+	}
 }
 
 // tick is the duty that lets waiting requests meet their deadlines.
@@ -132,13 +136,6 @@
 	}
 }
 
-// load returns the current counts.
-func (g *gate) load() admission.Load {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.ctrl.Load(time.Now())
-}
-
 // drain refuses new requests and waits until the open ones have ended.
 func (g *gate) drain(ctx context.Context) {
 	g.do(func(c *admission.Controller, _ time.Time) { c.Drain() })
--- a/internal/agent/packetconn.go
+++ b/internal/agent/packetconn.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hemlockscale/hemlockscale/internal/control"
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
 	"github.com/hemlockscale/hemlockscale/internal/frame"
 	"github.com/hemlockscale/hemlockscale/internal/udp"
@@ -29,12 +30,6 @@
 	from *net.UDPAddr
 }
 
-// controlDatagram is a sealed message as it arrived.
-type controlDatagram struct {
-	from netip.AddrPort
-	data []byte
-}
-
 // firstPacketPolicy decides where a flow's first packet goes.
 type firstPacketPolicy interface {
 	// handOn returns the agent that takes the flow instead of this one.
@@ -54,7 +49,7 @@
 
 	in      *frame.Codec // of the receive duty
 	data    chan arrival
-	control chan controlDatagram
+	control chan control.Datagram
 	buffers sync.Pool
 	writers sync.Pool
 
@@ -84,7 +79,7 @@
 		metrics: m,
 		in:      in,
 		data:    make(chan arrival, dataRing),
-		control: make(chan controlDatagram, controlRing),
+		control: make(chan control.Datagram, controlRing),
 		closed:  make(chan struct{}),
 		expired: make(chan struct{}),
 	}
@@ -105,7 +100,7 @@
 	for {
 		n, err := r.Read()
 		if err != nil {
-			return ignoreClosed(err)
+			return udp.IgnoreClosed(err)
 		}
 		now := time.Now()
 		for i := range n {
@@ -158,7 +153,7 @@
 func (c *packetConn) passControl(from netip.AddrPort, b []byte) {
 	data := append([]byte(nil), b...)
 	select {
-	case c.control <- controlDatagram{from: from, data: data}:
+	case c.control <- control.Datagram{From: from, Data: data}:
 	default:
 		c.metrics.controlOverflow.Inc()
 	}
--- a/internal/agent/paths.go
+++ b/internal/agent/paths.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"encoding/binary"
 	"net"
 	"net/netip"
 	"sync"
@@ -22,13 +21,23 @@
 	// pathIdle is after how much silence a path is forgotten. It is above
 	// the idle timeout of connections, so no open connection loses its path.
 	pathIdle = 2 * idleTimeout
+	// silenceLimit is how long a path may be silent after something was sent
+	// on it before other ways back are tried. It is above the round trip and
+	// the 25 ms by which QUIC delays acknowledgements; trying other ways too
+	// early costs some reordering only.
+	silenceLimit = 60 * time.Millisecond
 	// waysPerPath bounds the balancers remembered for one path.
 	waysPerPath = 4
 )
 
 // pathKey is a caller and the service address that it uses.
+//
+// The balancer is no part of it. Were it one, each balancer that a packet comes
+// through would be another path: QUIC would take every packet for a migration
+// of its caller, and no path would know more than one way back.
 type pathKey struct {
-	caller, address netip.AddrPort
+	caller  netip.AddrPort
+	address netip.Addr
 }
 
 // virtualAddr encodes a path key as one address for QUIC, so that two
@@ -37,10 +46,9 @@
 func (k pathKey) virtualAddr() *net.UDPAddr {
 	var ip [16]byte
 	ip[0] = 0xfd
-	caller, address := k.caller.Addr().As4(), k.address.Addr().As4()
+	caller, address := k.caller.Addr().As4(), k.address.As4()
 	copy(ip[4:8], caller[:])
 	copy(ip[8:12], address[:])
-	binary.BigEndian.PutUint16(ip[12:14], k.address.Port())
 	return &net.UDPAddr{IP: ip[:], Port: int(k.caller.Port())}
 }
 
@@ -50,9 +58,8 @@
 		return k, false
 	}
 	caller := netip.AddrFrom4([4]byte(a.IP[4:8]))
-	address := netip.AddrFrom4([4]byte(a.IP[8:12]))
 	k.caller = netip.AddrPortFrom(caller, uint16(a.Port))
-	k.address = netip.AddrPortFrom(address, binary.BigEndian.Uint16(a.IP[12:14]))
+	k.address = netip.AddrFrom4([4]byte(a.IP[8:12]))
 	return k, true
 }
 
@@ -64,6 +71,7 @@
 // as an echo, so such a way is left out until a probe is echoed.
 type way struct {
 	balancer netip.AddrPort
+	heardAt  time.Time
 	seq      uint32
 	sample   uint32    // sequence number whose echo is awaited
 	sampleAt time.Time // when it was sent; zero if none is awaited
@@ -114,12 +122,15 @@
 type path struct {
 	virtual *net.UDPAddr
 	heard   time.Time
+	sent    time.Time // first send since the path was heard; zero if none
+	turn    uint8     // of the rotation among ways while the path is silent
 	ways    [waysPerPath]candidate
 }
 
 // note records that the path was heard through w.
 func (p *path) note(w *way, now time.Time) {
 	p.heard = now
+	p.sent = time.Time{}
 	oldest := 0
 	for i := range p.ways {
 		c := &p.ways[i]
@@ -163,6 +174,39 @@
 	return best, probe
 }
 
+// silent reports whether nothing was heard since something was sent a while
+// ago. Packets sent by the last way may all be lost then: a balancer that died
+// stays the one last heard, because a caller that receives nothing has nothing
+// to acknowledge and so is never heard through another.
+func (p *path) silent(now time.Time) bool {
+	if p.sent.IsZero() {
+		p.sent = now
+		return false
+	}
+	return now.Sub(p.sent) > silenceLimit
+}
+
+// rotate returns two ways, others on each call, for a path that is silent.
+func (p *path) rotate() (first, second *way) {
+	var known [waysPerPath]*way
+	n := 0
+	for i := range p.ways {
+		if w := p.ways[i].way; w != nil {
+			known[n] = w
+			n++
+		}
+	}
+	if n == 0 {
+		return nil, nil
+	}
+	p.turn++
+	first = known[int(p.turn)%n]
+	if n > 1 {
+		second = known[int(p.turn+1)%n]
+	}
+	return first, second
+}
+
 // paths is the table of all paths and ways of an agent. Paths are bounded by
 // the idle sweep; ways by the number of balancers.
 type paths struct {
@@ -187,6 +231,7 @@
 		w = &way{balancer: h.Via}
 		t.ways[h.Via] = w
 	}
+	w.heardAt = now
 	// The echo on a handed-on packet is the one of the agent that handed it on.
 	if h.Flags&frame.FlagHandedOn == 0 {
 		w.heard(now, h.Echo)
@@ -201,7 +246,7 @@
 	return p.virtual
 }
 
-// sweep forgets idle paths, once in a pathIdle.
+// sweep forgets idle paths and balancers, once in a pathIdle.
 func (t *paths) sweep(now time.Time) {
 	if now.Sub(t.swept) < pathIdle {
 		return
@@ -212,6 +257,11 @@
 			delete(t.byKey, k)
 		}
 	}
+	for a, w := range t.ways {
+		if now.Sub(w.heardAt) > pathIdle {
+			delete(t.ways, a)
+		}
+	}
 }
 
 // route is one way for a return datagram.
@@ -220,9 +270,9 @@
 	seq      uint32
 }
 
-// back returns where a packet for a path goes: the best way first, and a
-// second one when a cut way is to be probed with a copy of the packet, which
-// QUIC discards if both arrive.
+// back returns where a packet for a path goes: one way, and a second for a copy
+// when the path is silent or a cut way is to be probed. QUIC discards the copy
+// if both arrive.
 func (t *paths) back(key pathKey, now time.Time, out *[2]route) (n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -230,8 +280,11 @@
 	if p == nil {
 		return 0
 	}
-	best, probe := p.best(now)
-	for _, w := range [2]*way{best, probe} {
+	first, second := p.best(now)
+	if p.silent(now) {
+		first, second = p.rotate()
+	}
+	for _, w := range [2]*way{first, second} {
 		if w != nil {
 			out[n] = route{balancer: w.balancer, seq: w.next(now)}
 			n++
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,184 @@
+// Package balancer is the entry process: it forwards callers' packets to
+// agents by the connection ID alone and keeps no state per flow.
+package balancer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+	"github.com/hemlockscale/hemlockscale/internal/store"
+	"github.com/hemlockscale/hemlockscale/internal/udp"
+	"github.com/hemlockscale/hemlockscale/membership"
+)
+
+// Config is the settings of a balancer.
+type Config struct {
+	Public   netip.AddrPort // wildcard address and the port that callers use
+	Internal netip.AddrPort // IPv4 address of the internal socket, as other processes reach it
+	Zone     string         // availability zone
+	Region   string
+	Keys     fleetkey.Ring
+	Seeds    []netip.AddrPort // other balancers' internal addresses
+	Store    store.Interface  // the platform's store
+	Linger   time.Duration    // how long a balancer that leaves goes on forwarding
+}
+
+// Balancer is one balancer. Its lifecycle is New, Run, Drain, Close.
+type Balancer struct {
+	cfg      Config
+	log      *zap.Logger
+	public   *udp.Conn
+	internal *udp.Conn
+	data     *dataplane
+	places   *places
+	address  *addresses
+	current  atomic.Pointer[catalogue.Catalogue] // never changed once stored
+	metrics  *metrics
+	control  *duty
+
+	agentsReady atomic.Int64
+
+	ctx       context.Context
+	cancel    context.CancelFunc
+	closeOnce sync.Once
+}
+
+// New checks the settings and opens the balancer's sockets.
+func New(cfg Config, log *zap.Logger, reg prometheus.Registerer) (*Balancer, error) {
+	public, err := udp.Listen(cfg.Public)
+	if err != nil {
+		return nil, err
+	}
+	internal, err := udp.Listen(cfg.Internal)
+	if err != nil {
+		public.Close()
+		return nil, err
+	}
+	cfg.Public, cfg.Internal = public.LocalAddr(), internal.LocalAddr()
+	b := &Balancer{
+		cfg:      cfg,
+		log:      log.With(zap.Stringer("addr", cfg.Internal)),
+		public:   public,
+		internal: internal,
+		places:   newPlaces(cfg.Zone),
+		address:  &addresses{},
+		metrics:  newMetrics(reg),
+	}
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	if err := b.provision(); err != nil {
+		b.Close()
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *Balancer) provision() error {
+	f, err := NewForwarder(b.cfg.Keys, b.address, b.places, b.cfg.Internal)
+	if err != nil {
+		return err
+	}
+	if b.data, err = newDataplane(b.cfg.Keys, b.public, b.internal, f, b.places, b.metrics); err != nil {
+		return err
+	}
+	b.control, err = newDuty(b)
+	return err
+}
+
+// Public returns the socket's address that callers use.
+func (b *Balancer) Public() netip.AddrPort { return b.cfg.Public }
+
+// Internal returns the address that other processes use.
+func (b *Balancer) Internal() netip.AddrPort { return b.cfg.Internal }
+
+// Revision returns the catalogue revision in force, 0 for none.
+func (b *Balancer) Revision() uint64 {
+	if c := b.current.Load(); c != nil {
+		return c.Revision()
+	}
+	return 0
+}
+
+// Ready reports whether the balancer knows the catalogue.
+func (b *Balancer) Ready() bool { return b.current.Load() != nil }
+
+// AgentsReady returns how many agents take new flows.
+func (b *Balancer) AgentsReady() int { return int(b.agentsReady.Load()) }
+
+// putCatalogue puts a catalogue in force. The revision only grows.
+func (b *Balancer) putCatalogue(c *catalogue.Catalogue) {
+	if old := b.current.Load(); old != nil && c.Revision() <= old.Revision() {
+		return
+	}
+	b.current.Store(c)
+	b.address.table.Store(c.Table())
+	b.metrics.revision.Set(float64(c.Revision()))
+	b.log.Info("catalogue in force", zap.Uint64("revision", c.Revision()), zap.Stringer("checksum", c.Checksum()))
+	b.announce(membership.StateReady)
+}
+
+func (b *Balancer) announce(s membership.State) {
+	select {
+	case b.control.states <- s:
+	case <-b.ctx.Done():
+	}
+}
+
+// Run does the balancer's duties until Close.
+func (b *Balancer) Run() error {
+	var g run.Group
+	stop := func(error) { b.Close() }
+	g.Add(b.data.inward, stop)
+	g.Add(b.data.outward, stop)
+	g.Add(func() error { b.control.run(b.ctx); return nil }, stop)
+	g.Add(func() error { b.follow(b.ctx); return nil }, stop)
+	return g.Run()
+}
+
+// Drain announces that the balancer leaves and goes on forwarding for
+// Config.Linger, in which the fabric stops handing it packets.
+func (b *Balancer) Drain(ctx context.Context) {
+	b.announce(membership.StateLeaving)
+	select {
+	case <-time.After(b.cfg.Linger):
+	case <-ctx.Done():
+	}
+}
+
+// Close ends the balancer at once.
+func (b *Balancer) Close() {
+	b.closeOnce.Do(func() {
+		b.cancel()
+		b.public.Close()
+		b.internal.Close()
+	})
+}
+
+// Status is what the admin page /catalogue tells.
+type Status struct {
+	Node     string `json:"node"`
+	Role     string `json:"role"`
+	Zone     string `json:"zone"`
+	Revision uint64 `json:"revision"`
+	Checksum string `json:"checksum"`
+}
+
+// ServeStatus answers the admin page /catalogue.
+func (b *Balancer) ServeStatus(w http.ResponseWriter, _ *http.Request) {
+	s := Status{Node: b.cfg.Internal.String(), Role: "balancer", Zone: b.cfg.Zone}
+	if c := b.current.Load(); c != nil {
+		s.Revision, s.Checksum = c.Revision(), c.Checksum().String()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(s)
+}
--- a/internal/balancer/dataplane.go
+++ b/internal/balancer/dataplane.go
@@ -1,10 +1,9 @@
 package balancer
 
 import (
-	"errors"
-	"net"
 	"net/netip"
 
+	"github.com/hemlockscale/hemlockscale/internal/control"
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
 	"github.com/hemlockscale/hemlockscale/internal/frame"
 	"github.com/hemlockscale/hemlockscale/internal/udp"
@@ -16,12 +15,6 @@
 // of all flows.
 const controlRing = 1024
 
-// controlDatagram is a sealed message as it arrived.
-type controlDatagram struct {
-	from netip.AddrPort
-	data []byte
-}
-
 // LoadObserver is told the occupancy that agents report on return datagrams.
 type LoadObserver interface {
 	Observe(service uint32, agent netip.AddrPort, load byte)
@@ -35,9 +28,8 @@
 	forwarder *Forwarder
 	codec     *frame.Codec // of the outward duty
 	observer  LoadObserver
-	control   chan controlDatagram
+	control   chan control.Datagram
 	metrics   *metrics
-	span      spanRecorder
 }
 
 func newDataplane(ring fleetkey.Ring, public, internal *udp.Conn, f *Forwarder, o LoadObserver, m *metrics) (*dataplane, error) {
@@ -51,7 +43,7 @@
 		forwarder: f,
 		codec:     codec,
 		observer:  o,
-		control:   make(chan controlDatagram, controlRing),
+		control:   make(chan control.Datagram, controlRing),
 		metrics:   m,
 	}, nil
 }
@@ -64,7 +56,7 @@
 	for {
 		n, err := r.Read()
 		if err != nil {
-			return ignoreClosed(err)
+			return udp.IgnoreClosed(err)
 		}
 		for i := range n {
 			d.forward(r, w, i)
@@ -85,9 +77,6 @@
 	if v != Forwarded {
 		return
 	}
-	if d.span != nil && d.forwarder.header.Flags&frame.FlagFirst != 0 {
-		d.span.first(&d.forwarder.header, d.forwarder.packet.ID, agent)
-	}
 	w.Add(b, agent, netip.Addr{})
 }
 
@@ -100,7 +89,7 @@
 	for {
 		n, err := r.Read()
 		if err != nil {
-			return ignoreClosed(err)
+			return udp.IgnoreClosed(err)
 		}
 		for i := range n {
 			d.giveBack(r, w, i, &h)
@@ -123,22 +112,14 @@
 	d.forwarder.peers.saw(agent, h.Seq)
 	d.observer.Observe(h.Service, agent, h.Load)
 	d.metrics.returned.Inc()
-	w.Add(b[frame.Len:], h.Caller, h.Address.Addr())
+	w.Add(b[frame.Len:], h.Caller, h.Address)
 }
 
 func (d *dataplane) passControl(from netip.AddrPort, b []byte) {
 	data := append([]byte(nil), b...)
 	select {
-	case d.control <- controlDatagram{from: from, data: data}:
+	case d.control <- control.Datagram{From: from, Data: data}:
 	default:
 		d.metrics.controlOverflow.Inc()
 	}
 }
-
-// ignoreClosed turns the error of a closed socket into the end of a duty.
-func ignoreClosed(err error) error {
-	if errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
--- a/internal/balancer/forward.go
+++ b/internal/balancer/forward.go
@@ -57,15 +57,13 @@
 	chooser   Chooser
 	peers     *peerTable
 	via       netip.AddrPort
-	port      uint16
 	packet    quicwire.Packet
 	header    frame.Header
 	choice    Choice
 }
 
-// NewForwarder returns a forwarder for a balancer with internal address via
-// that serves callers on the given port.
-func NewForwarder(ring fleetkey.Ring, addresses Addresses, chooser Chooser, via netip.AddrPort, port uint16) (*Forwarder, error) {
+// NewForwarder returns a forwarder for a balancer with internal address via.
+func NewForwarder(ring fleetkey.Ring, addresses Addresses, chooser Chooser, via netip.AddrPort) (*Forwarder, error) {
 	ids, err := ring.ConnIDs()
 	if err != nil {
 		return nil, err
@@ -74,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Forwarder{ids: ids.Reader(), codec: codec, addresses: addresses, chooser: chooser, peers: newPeerTable(), via: via, port: port}, nil
+	return &Forwarder{ids: ids.Reader(), codec: codec, addresses: addresses, chooser: chooser, peers: newPeerTable(), via: via}, nil
 }
 
 // Forward decides where a caller's packet goes. b is the packet with frame.Len
@@ -100,7 +98,7 @@
 	h.Kind = frame.KindForward
 	h.Service = service
 	h.Caller = caller
-	h.Address = netip.AddrPortFrom(netip.AddrFrom4(address), f.port)
+	h.Address = netip.AddrFrom4(address)
 	h.Via = f.via
 	h.Echo = f.peers.echo(agent)
 	f.codec.Put(b, h)
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,73 @@
+// Package control carries control messages between the system's processes:
+// CBOR, sealed under the fleet key, one message a datagram.
+package control
+
+import (
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+	"github.com/hemlockscale/hemlockscale/internal/seal"
+	"github.com/hemlockscale/hemlockscale/internal/udp"
+)
+
+// Datagram is a control datagram as it arrived.
+type Datagram struct {
+	From netip.AddrPort
+	Data []byte
+}
+
+// Link sends and opens control datagrams on one socket. It is safe for
+// concurrent use.
+type Link struct {
+	box    *seal.Box
+	socket *udp.Conn
+	// Sent, if not nil, is told the bytes of each datagram sent.
+	Sent func(bytes int)
+}
+
+// NewLink returns a link over socket.
+func NewLink(ring fleetkey.Ring, socket *udp.Conn) (*Link, error) {
+	box, err := seal.NewBox(ring)
+	if err != nil {
+		return nil, err
+	}
+	return &Link{box: box, socket: socket}, nil
+}
+
+// SendBytes sends an encoded message. A datagram that the kernel refuses is
+// lost, as any may be.
+func (l *Link) SendBytes(t seal.Topic, to netip.AddrPort, b []byte) {
+	d := l.box.Seal(t, b)
+	if l.Sent != nil {
+		l.Sent(len(d))
+	}
+	l.socket.WriteTo(d, to)
+}
+
+// Send encodes and sends a message.
+func (l *Link) Send(t seal.Topic, to netip.AddrPort, message any) error {
+	b, err := cbor.Marshal(message)
+	if err != nil {
+		return err
+	}
+	l.SendBytes(t, to, b)
+	return nil
+}
+
+// Open returns the topic and the encoded message of a datagram.
+func (l *Link) Open(d Datagram) (seal.Topic, []byte, bool) { return l.box.Open(d.Data) }
+
+// EntryRequest asks a balancer for one catalogue entry.
+type EntryRequest struct {
+	Service string `cbor:"1,keyasint"`
+	Known   uint64 `cbor:"2,keyasint"` // version that the asker has, 0 for none
+}
+
+// EntryAnswer is sent when the balancer's entry is newer than the asker's.
+type EntryAnswer struct {
+	Revision uint64           `cbor:"1,keyasint"` // of the balancer's catalogue
+	Entry    *catalogue.Entry `cbor:"2,keyasint"` // nil if no entry of the name exists
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,7 +37,8 @@
 	Registry *prometheus.Registry
 	Mux      *http.ServeMux // pages of the admin address
 	admin    net.Listener
-	ready    atomic.Bool
+	ready    func() bool
+	draining atomic.Bool
 	group    run.Group
 }
 
@@ -75,11 +76,11 @@
 	return log.With(zap.String("role", role)), nil
 }
 
-// SetReady changes what the readiness page says.
-func (d *Daemon) SetReady(ready bool) { d.ready.Store(ready) }
+// ReadyWhen makes the readiness page ask ready. Call it before Run.
+func (d *Daemon) ReadyWhen(ready func() bool) { d.ready = ready }
 
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !d.ready.Load() {
+	if d.draining.Load() || d.ready == nil || !d.ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -100,7 +101,9 @@
 }
 
 // Run runs p until a signal or a failure. SIGTERM and SIGINT drain p for at
-// most drain and then close it; a second signal ends the drain.
+// most drain and then close it. A second SIGINT, from an operator at a
+// terminal, ends the drain; a second SIGTERM changes nothing, because a
+// supervisor that repeats itself must not cut the requests in flight.
 func (d *Daemon) Run(p Part, drain time.Duration) error {
 	d.group.Add(p.Run, func(error) { p.Close() })
 	d.addAdmin()
@@ -132,16 +135,10 @@
 		case <-done:
 			return nil
 		}
-		d.SetReady(false)
+		d.draining.Store(true)
 		ctx, cancel := context.WithTimeout(context.Background(), drain)
 		defer cancel()
-		go func() {
-			select {
-			case <-signals:
-				cancel()
-			case <-ctx.Done():
-			}
-		}()
+		go cancelOnInterrupt(ctx, cancel, signals)
 		p.Drain(ctx)
 		d.Log.Info("drained", zap.Bool("complete", ctx.Err() == nil))
 		return nil
@@ -150,3 +147,17 @@
 		close(done)
 	})
 }
+
+func cancelOnInterrupt(ctx context.Context, cancel context.CancelFunc, signals <-chan os.Signal) {
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGINT {
+				cancel()
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -50,11 +50,11 @@
 	offService   = 4
 	offCaller    = 8
 	offAddress   = 14
-	offVia       = 20
-	offAlternate = 26
-	offSeq       = 32
-	offEcho      = 36
-	offMAC       = 40
+	offVia       = 18
+	offAlternate = 24
+	offSeq       = 30
+	offEcho      = 34
+	offMAC       = 40 // the two bytes before it stay zero
 	macLen       = Len - offMAC
 
 	// MaxPacket is the largest caller packet that is passed on, in bytes. With
@@ -69,7 +69,7 @@
 	Load      byte           // return: the agent's occupancy; forward: the alternate's, as the balancer believes it
 	Service   uint32         // service number
 	Caller    netip.AddrPort // where the packet came from or goes to
-	Address   netip.AddrPort // the service address that the caller uses
+	Address   netip.Addr     // the service address that the caller uses
 	Via       netip.AddrPort // balancer that took the packet in; the way back
 	Alternate netip.AddrPort // forward with FlagAlternate: another agent of the service
 	// Seq counts the return datagrams from this agent to this balancer; Echo
@@ -110,11 +110,13 @@
 	b[offLoad] = h.Load
 	binary.BigEndian.PutUint32(b[offService:], h.Service)
 	putAddr(b[offCaller:], h.Caller)
-	putAddr(b[offAddress:], h.Address)
+	ip := h.Address.As4()
+	copy(b[offAddress:offVia], ip[:])
 	putAddr(b[offVia:], h.Via)
 	putAddr(b[offAlternate:], h.Alternate)
 	binary.BigEndian.PutUint32(b[offSeq:], h.Seq)
 	binary.BigEndian.PutUint32(b[offEcho:], h.Echo)
+	clear(b[offEcho+4 : offMAC])
 	c.sum(c.blocks[c.key], b)
 	copy(b[offMAC:Len], c.mac[:macLen])
 }
@@ -138,7 +140,7 @@
 	h.Load = b[offLoad]
 	h.Service = binary.BigEndian.Uint32(b[offService:])
 	h.Caller = getAddr(b[offCaller:])
-	h.Address = getAddr(b[offAddress:])
+	h.Address = netip.AddrFrom4([4]byte(b[offAddress:offVia]))
 	h.Via = getAddr(b[offVia:])
 	h.Alternate = getAddr(b[offAlternate:])
 	h.Seq = binary.BigEndian.Uint32(b[offSeq:])
--- a/internal/seal/seal.go
+++ b/internal/seal/seal.go
@@ -19,6 +19,8 @@
 	TopicMembership Topic = 1
 	TopicCatalogue  Topic = 2
 	TopicClaim      Topic = 3
+	TopicEntry      Topic = 4 // an EntryRequest to a balancer
+	TopicEntryIs    Topic = 5 // an EntryAnswer to an agent
 )
 
 const (
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -149,3 +149,13 @@
 	}
 	return nil
 }
+
+// First runs checks in order and returns the first error.
+func First(checks ...func() error) error {
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -6,6 +6,7 @@
 package udp
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"syscall"
@@ -76,6 +77,15 @@
 	return c.conn.Close()
 }
 
+// IgnoreClosed turns the error of a read from a closed socket into nil, the
+// regular end of a duty that reads it.
+func IgnoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
 // WriteTo sends one datagram.
 func (c *Conn) WriteTo(b []byte, to netip.AddrPort) error {
 	_, err := c.conn.WriteToUDPAddrPort(b, to)
--- /dev/null
+++ b/test/fleet/fleet.go
@@ -0,0 +1,335 @@
+// Package fleet runs the system as real processes for tests: the platform's
+// store, the fabric and the backend servers are stand-ins in the test's own
+// process, balancers and agents are the binaries.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/internal/standin/backend"
+	"github.com/hemlockscale/hemlockscale/internal/standin/caller"
+	"github.com/hemlockscale/hemlockscale/internal/standin/fabric"
+	"github.com/hemlockscale/hemlockscale/internal/standin/pki"
+	standin "github.com/hemlockscale/hemlockscale/internal/standin/store"
+	"github.com/hemlockscale/hemlockscale/internal/store"
+)
+
+// Service is one service of a fleet.
+type Service struct {
+	Name     string
+	Owner    string
+	Class    catalogue.Class
+	Limits   catalogue.Limits
+	Backends int
+	Work     time.Duration // of a short request
+}
+
+// Config is the make-up of a fleet.
+type Config struct {
+	Balancers int
+	Services  []Service
+	Zones     []string // balancers and agents take turns; default one zone
+	Seed      uint64
+}
+
+// Agent is an agent and its backend server.
+type Agent struct {
+	*Process
+	Service  string
+	Internal netip.AddrPort
+	Admin    string
+	Backend  *backend.Server
+	env      map[string]string
+}
+
+// Balancer is a balancer process.
+type Balancer struct {
+	*Process
+	Internal netip.AddrPort
+	Port     uint16
+	Admin    string
+	env      map[string]string
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	T         testing.TB
+	Store     *standin.Server
+	StoreURL  string
+	Editor    *catalogue.Editor
+	Fabric    *fabric.Fabric
+	Balancers []*Balancer
+	Agents    []*Agent
+	Addresses map[string]netip.Addr // service address by service name
+
+	cfg       Config
+	net       byte
+	authority *pki.Authority
+}
+
+const (
+	internalPort = 7700
+	adminPort    = 7701
+	fleetKey     = "1:000102030405060708090a0b0c0d0e0f"
+	// Limit bounds every wait on a condition. It is far above what a sound
+	// fleet takes on a busy machine.
+	Limit = 30 * time.Second
+)
+
+var nets atomic.Uint32
+
+// Start starts a fleet and waits until every service is served.
+func Start(t testing.TB, cfg Config) *Fleet {
+	t.Helper()
+	if len(cfg.Zones) == 0 {
+		cfg.Zones = []string{"zone-a"}
+	}
+	f := &Fleet{T: t, cfg: cfg, Addresses: make(map[string]netip.Addr)}
+	// Each fleet has loopback addresses of its own: 127.net.x.y.
+	f.net = byte(10 + (uint32(os.Getpid())+nets.Add(1))%200)
+	f.startStore()
+	f.fillCatalogue()
+	var err error
+	if f.authority, err = pki.NewAuthority(); err != nil {
+		t.Fatal(err)
+	}
+	for i := range cfg.Balancers {
+		f.StartBalancer(i)
+	}
+	f.startFabric()
+	for _, s := range cfg.Services {
+		for range s.Backends {
+			f.StartAgent(s)
+		}
+	}
+	f.WaitReady()
+	return f
+}
+
+func (f *Fleet) addr(kind, n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, f.net, byte(kind), byte(n + 1)})
+}
+
+func (f *Fleet) startStore() {
+	f.Store = standin.New(standin.Config{Seed: f.cfg.Seed, WatchWait: 2 * time.Second})
+	server := httptest.NewServer(f.Store.Handler())
+	f.T.Cleanup(server.CloseClientConnections)
+	f.T.Cleanup(server.Close)
+	f.StoreURL = server.URL
+	client, err := store.New(store.Config{URL: server.URL})
+	if err != nil {
+		f.T.Fatal(err)
+	}
+	f.T.Cleanup(client.Close)
+	f.Editor = &catalogue.Editor{Store: store.ForCatalogue(client)}
+}
+
+func (f *Fleet) fillCatalogue() {
+	var entries []catalogue.Entry
+	for i, s := range f.cfg.Services {
+		f.Addresses[s.Name] = f.addr(3, i)
+		entries = append(entries, catalogue.Entry{Service: s.Name, Owner: s.Owner, Class: s.Class, Limits: s.Limits, Addresses: []netip.Addr{f.Addresses[s.Name]}})
+	}
+	if _, err := f.Editor.Apply(context.Background(), catalogue.Edit{Editor: "test", Put: entries}); err != nil {
+		f.T.Fatal(err)
+	}
+}
+
+func (f *Fleet) startFabric() {
+	var ports []uint16
+	for _, b := range f.Balancers {
+		ports = append(ports, b.Port)
+	}
+	var err error
+	f.Fabric, err = fabric.Start(fabric.Config{Listen: netip.MustParseAddrPort("0.0.0.0:0"), Balancers: ports, Seed: f.cfg.Seed})
+	if err != nil {
+		f.T.Fatal(err)
+	}
+	f.T.Cleanup(f.Fabric.Close)
+}
+
+func (f *Fleet) seeds() string {
+	s := ""
+	for i := range f.cfg.Balancers {
+		if i > 0 {
+			s += ","
+		}
+		s += netip.AddrPortFrom(f.addr(1, i), internalPort).String()
+	}
+	return s
+}
+
+// StartBalancer starts the i-th balancer, or starts it again.
+func (f *Fleet) StartBalancer(i int) *Balancer {
+	f.T.Helper()
+	b := &Balancer{
+		Internal: netip.AddrPortFrom(f.addr(1, i), internalPort),
+		Admin:    netip.AddrPortFrom(f.addr(1, i), adminPort).String(),
+	}
+	if i < len(f.Balancers) {
+		b.Port = f.Balancers[i].Port
+	} else {
+		b.Port = freePort(f.T)
+	}
+	b.env = map[string]string{
+		"HEMLOCK_BALANCER_PUBLIC":    fmt.Sprintf("0.0.0.0:%d", b.Port),
+		"HEMLOCK_BALANCER_INTERNAL":  b.Internal.String(),
+		"HEMLOCK_BALANCER_SEEDS":     f.seeds(),
+		"HEMLOCK_BALANCER_STORE":     f.StoreURL,
+		"HEMLOCK_BALANCER_FLEET_KEY": fleetKey,
+		"HEMLOCK_BALANCER_ZONE":      f.cfg.Zones[i%len(f.cfg.Zones)],
+		"HEMLOCK_BALANCER_ADMIN":     b.Admin,
+	}
+	b.Process = StartProcess(f.T, fmt.Sprintf("balancer-%d", i), "hemlock-balancer", b.env)
+	if i < len(f.Balancers) {
+		f.Balancers[i] = b
+	} else {
+		f.Balancers = append(f.Balancers, b)
+	}
+	return b
+}
+
+// StartAgent starts one more agent of a service, with a backend server.
+func (f *Fleet) StartAgent(s Service) *Agent {
+	f.T.Helper()
+	i := len(f.Agents)
+	slots := s.Limits.Slots
+	if slots == 0 {
+		slots = catalogue.DefaultSlots
+	}
+	server, err := backend.Start(backend.Config{Listen: "127.0.0.1:0", Name: fmt.Sprintf("%s-%d", s.Name, i), Service: s.Name, Slots: slots, Connections: catalogue.DefaultConnections, Work: s.Work})
+	if err != nil {
+		f.T.Fatal(err)
+	}
+	f.T.Cleanup(server.Close)
+	a := &Agent{
+		Service:  s.Name,
+		Internal: netip.AddrPortFrom(f.addr(2, i), internalPort),
+		Admin:    netip.AddrPortFrom(f.addr(2, i), adminPort).String(),
+		Backend:  server,
+	}
+	cert, key, err := f.authority.Issue(s.Name)
+	if err != nil {
+		f.T.Fatal(err)
+	}
+	a.env = map[string]string{
+		"HEMLOCK_AGENT_INTERNAL":  a.Internal.String(),
+		"HEMLOCK_AGENT_BALANCERS": f.seeds(),
+		"HEMLOCK_AGENT_FLEET_KEY": fleetKey,
+		"HEMLOCK_AGENT_BACKEND":   "http://" + server.Addr(),
+		"HEMLOCK_AGENT_SERVICE":   s.Name,
+		"HEMLOCK_AGENT_ZONE":      f.cfg.Zones[i%len(f.cfg.Zones)],
+		"HEMLOCK_AGENT_ADMIN":     a.Admin,
+		"HEMLOCK_AGENT_TLS_CERT":  string(cert),
+		"HEMLOCK_AGENT_TLS_KEY":   string(key),
+	}
+	a.Process = StartProcess(f.T, fmt.Sprintf("agent-%d-%s", i, s.Name), "hemlock-agent", a.env)
+	f.Agents = append(f.Agents, a)
+	return a
+}
+
+// Restart starts the agent's process again at the same addresses.
+func (f *Fleet) Restart(a *Agent) {
+	f.T.Helper()
+	a.Process = StartProcess(f.T, a.Process.Name+"-again", "hemlock-agent", a.env)
+}
+
+// Caller returns a caller of a service. It is closed at the end of the test.
+func (f *Fleet) Caller(service string) *caller.Caller {
+	f.T.Helper()
+	c, err := caller.New(caller.Config{
+		Address: netip.AddrPortFrom(f.Addresses[service], f.Fabric.Port()),
+		Service: service,
+		Roots:   f.authority.Pool(),
+	})
+	if err != nil {
+		f.T.Fatal(err)
+	}
+	f.T.Cleanup(c.Close)
+	return c
+}
+
+// WaitReady waits until all processes are ready and every balancer knows all
+// agents.
+func (f *Fleet) WaitReady() {
+	f.T.Helper()
+	for _, b := range f.Balancers {
+		f.Eventually(b.Name+" ready", func() bool { return isReady(b.Admin) })
+	}
+	for _, a := range f.Agents {
+		f.Eventually(a.Name+" ready", func() bool { return isReady(a.Admin) })
+	}
+	want := float64(len(f.Agents))
+	for _, b := range f.Balancers {
+		f.Eventually(b.Name+" knows all agents", func() bool {
+			n, ok := Metric(b.Admin, "hemlock_balancer_agents_ready")
+			return ok && n == want
+		})
+	}
+}
+
+// Eventually waits until condition holds, and fails the test after Limit.
+func (f *Fleet) Eventually(what string, condition func() bool) {
+	f.T.Helper()
+	Eventually(f.T, what, condition)
+}
+
+// Eventually waits until condition holds, and fails the test after Limit.
+func Eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	const interval = 20 * time.Millisecond
+	deadline := time.Now().Add(Limit)
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", Limit, what)
+		}
+		<-tick.C
+	}
+}
+
+func isReady(admin string) bool {
+	resp, err := http.Get("http://" + admin + "/ready")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Status is the admin page /catalogue of a balancer.
+type Status struct {
+	Revision uint64 `json:"revision"`
+	Checksum string `json:"checksum"`
+}
+
+// Status returns what a balancer says of its catalogue.
+func (b *Balancer) Status() (s Status, err error) {
+	resp, err := http.Get("http://" + b.Admin + "/catalogue")
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	return s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+func freePort(t testing.TB) uint16 {
+	c, err := net.ListenUDP("udp4", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return uint16(c.LocalAddr().(*net.UDPAddr).Port)
+}
