Requests with an idempotency key run at most once, also at another agent

Cause: a caller that repeats a reservation on a new connection reaches another agent, which knew nothing of the first attempt. Change: agents run package idempotency: before the first byte goes to the backend server the key's home agents vote. Balancers tell agents who votes (the 32 agents of lowest hash, live and gone), an agent that leaves stops voting before it says so, an agent added to a service at work becomes ready only when requests with keys can run there. A service of one or two agents refuses such requests when one is gone, until the retention is over; the answer is then 'unknown', never a second run.

--- a/cmd/hemlock-agent/main.go
+++ b/cmd/hemlock-agent/main.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/hemlockscale/hemlockscale/idempotency"
 	"github.com/hemlockscale/hemlockscale/internal/agent"
 	"github.com/hemlockscale/hemlockscale/internal/daemon"
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
@@ -52,6 +53,11 @@
 	s.StringVar(&a.Region, "region", "", "region of this VM")
 	s.DurationVar(&a.Ramp.Duration, "ramp", 0, "cold start: time in which the backend server's share of new flows grows to its whole")
 	s.IntVar(&a.Ramp.Steps, "ramp-steps", 4, "cold start: steps of that growth")
+	s.DurationVar(&a.Repeats.Window, "repeat-window", idempotency.DefaultWindow, "a request with an idempotency key runs at most once within this time")
+	s.DurationVar(&a.Repeats.Expiry, "repeat-expiry", idempotency.DefaultExpiry, "limit of the time from asking for votes to the request's first byte")
+	s.DurationVar(&a.Repeats.Skew, "repeat-skew", idempotency.DefaultSkew, "time in which every agent hears of a change of its service's agents")
+	s.DurationVar(&a.Repeats.Freshness, "repeat-freshness", idempotency.DefaultFreshness, "a roster older than this is not acted on")
+	s.DurationVar(&a.Repeats.Retention, "repeat-retention", idempotency.DefaultRetention, "how long an agent that vanished is still counted in votes")
 	s.DurationVar(&cfg.drain, "drain", time.Hour, "limit of a graceful stop; open flows run to their end within it")
 	admin := s.String("admin", "127.0.0.1:0", "TCP address of metrics, readiness and status")
 	s.StringVar(&cfg.daemon.Level, "log-level", "info", "debug, info, warn or error")
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,6 +26,8 @@
 	"github.com/hemlockscale/hemlockscale/admission"
 	"github.com/hemlockscale/hemlockscale/catalogue"
 	"github.com/hemlockscale/hemlockscale/connid"
+	"github.com/hemlockscale/hemlockscale/idempotency"
+	"github.com/hemlockscale/hemlockscale/internal/control"
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
 	"github.com/hemlockscale/hemlockscale/internal/udp"
 	"github.com/hemlockscale/hemlockscale/placement"
@@ -67,6 +69,7 @@
 	Keys        fleetkey.Ring
 	Seeds       []netip.AddrPort // balancers to announce to at first
 	Ramp        placement.Ramp   // cold start of the backend server
+	Repeats     idempotency.Config
 }
 
 // Agent is one agent. Its lifecycle is New, Run, Drain, Close.
@@ -85,6 +88,7 @@
 	metrics *metrics
 	flows   *flows
 	control *duty
+	claims  *claims
 
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -108,12 +112,15 @@
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.flows = newFlows(a.gate)
-	if err := a.open(); err != nil {
+	link, err := control.NewLink(cfg.Keys, socket)
+	if err != nil {
 		socket.Close()
 		return nil, err
 	}
-	if a.control, err = newDuty(a); err != nil {
-		a.Close()
+	a.claims = newClaims(link, cfg.Internal, cfg.Repeats)
+	a.control = newDuty(a, link)
+	if err := a.open(); err != nil {
+		socket.Close()
 		return nil, err
 	}
 	return a, nil
@@ -155,7 +162,7 @@
 		return err
 	}
 	a.http = &http3.Server{
-		Handler:     &handler{entry: &a.entry, gate: a.gate, backend: a.backend, metrics: a.metrics},
+		Handler:     &handler{entry: &a.entry, gate: a.gate, backend: a.backend, claims: a.claims, metrics: a.metrics},
 		ConnContext: a.connContext,
 	}
 	return nil
@@ -190,6 +197,9 @@
 // Ready reports whether the agent takes new flows.
 func (a *Agent) Ready() bool { return a.ready.Load() }
 
+// KeysReady reports whether requests with idempotency keys can run here.
+func (a *Agent) KeysReady() bool { return a.claims.ready() }
+
 // Internal returns the address that other processes use.
 func (a *Agent) Internal() netip.AddrPort { return a.cfg.Internal }
 
--- /dev/null
+++ b/internal/agent/claims.go
@@ -0,0 +1,306 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hemlockscale/hemlockscale/idempotency"
+	"github.com/hemlockscale/hemlockscale/internal/control"
+	"github.com/hemlockscale/hemlockscale/internal/seal"
+)
+
+const (
+	homeTick = time.Second
+	// rosterShare is which part of the freshness that a vote needs may pass
+	// between two requests for the roster, so that a lost answer does no harm.
+	rosterShare = 4
+)
+
+// claims runs the two state machines of package idempotency: the requester for
+// this agent's own requests and the home that votes on others'.
+type claims struct {
+	link *control.Link
+	self netip.AddrPort
+
+	mu  sync.Mutex // guards all below
+	cfg idempotency.Config
+	// freshness is cfg.Freshness with its default filled in.
+	freshness time.Duration
+	elect     *idempotency.Electorate
+	req       *idempotency.Requester
+	home      *idempotency.Home // nil once the agent leaves: it votes no more
+	nextID    uint64
+	waiting   map[uint64]chan idempotency.Effect
+	effects   []idempotency.Effect
+
+	rosterSeq  uint64
+	rosterSent time.Time // when the roster request with rosterSeq went out
+	ticked     time.Time
+	named      time.Time // when the roster first named this agent
+	complete   bool
+	serving    int // other agents of the service that take new flows
+	live       int // other agents of the service
+}
+
+func newClaims(link *control.Link, self netip.AddrPort, cfg idempotency.Config) *claims {
+	now := time.Now()
+	freshness := cfg.Freshness
+	if freshness == 0 {
+		freshness = idempotency.DefaultFreshness
+	}
+	elect := idempotency.NewElectorate(now, cfg)
+	return &claims{
+		link:      link,
+		self:      self,
+		cfg:       cfg,
+		freshness: freshness,
+		elect:     elect,
+		req:       idempotency.NewRequester(self, uint64(now.UnixNano()), elect, cfg, newRand()),
+		home:      idempotency.NewHome(self, cfg),
+		waiting:   make(map[uint64]chan idempotency.Effect),
+	}
+}
+
+// claim is the right to run one request with a key, once.
+type claim struct {
+	claims *claims
+	id     uint64
+}
+
+// finish tells what became of the request.
+func (c *claim) finish(s idempotency.State, status int) {
+	if c == nil {
+		return
+	}
+	c.claims.do(func(now time.Time) { c.claims.req.Finish(now, c.id, s, status) })
+}
+
+// begin waits for the right to run a request with the key. Its answer holds
+// until the first byte only if that follows at once.
+func (c *claims) begin(ctx context.Context, key idempotency.Key) (*claim, *Fault) {
+	wait := make(chan idempotency.Effect, 2)
+	var id uint64
+	c.do(func(now time.Time) {
+		c.nextID++
+		id = c.nextID
+		c.waiting[id] = wait
+		c.req.Begin(now, id, key)
+	})
+	defer c.do(func(time.Time) { delete(c.waiting, id) })
+	for {
+		select {
+		case e := <-wait:
+			if e.Kind != idempotency.Run {
+				return nil, claimFault(e)
+			}
+			if c.start(id) {
+				return &claim{claims: c, id: id}, nil
+			}
+		case <-ctx.Done():
+			c.do(func(now time.Time) { c.req.Abandon(now, id) })
+			return nil, &Fault{Status: http.StatusGatewayTimeout, Outcome: OutcomeUnknown, Reason: "deadline",
+				Remedy: "this attempt was not run, an earlier one with the key may have been; send it again with the same key", RetryAfter: time.Second}
+		}
+	}
+}
+
+func (c *claims) start(id uint64) (ok bool) {
+	c.do(func(now time.Time) { ok = c.req.Start(now, id) })
+	return ok
+}
+
+// do runs f and carries out the effects that follow.
+func (c *claims) do(f func(now time.Time)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(time.Now())
+	c.settle()
+}
+
+// settle carries out effects until there are none. c.mu is held.
+func (c *claims) settle() {
+	for {
+		c.effects = c.req.Effects(c.effects[:0])
+		if len(c.effects) == 0 {
+			return
+		}
+		for _, e := range c.effects {
+			c.carryOut(e)
+		}
+	}
+}
+
+func (c *claims) carryOut(e idempotency.Effect) {
+	now := time.Now()
+	switch e.Kind {
+	case idempotency.SendClaim:
+		if e.To != c.self {
+			c.link.Send(seal.TopicClaim, e.To, e.Claim)
+		} else if c.home != nil {
+			c.req.Receive(now, c.self, c.home.Claim(now, e.Claim))
+		}
+	case idempotency.SendReport:
+		if e.To != c.self {
+			c.link.Send(seal.TopicReport, e.To, e.Report)
+		} else if c.home != nil {
+			c.home.Report(now, e.Report)
+		}
+	default:
+		if wait := c.waiting[e.ID]; wait != nil {
+			wait <- e
+		}
+	}
+}
+
+// receive takes in a message of the topics claim, vote, report and roster. ok
+// is false for a message that can't be read.
+func (c *claims) receive(topic seal.Topic, from netip.AddrPort, b []byte) (ok bool) {
+	var err error
+	c.do(func(now time.Time) {
+		switch topic {
+		case seal.TopicClaim:
+			var m idempotency.Claim
+			if err = cbor.Unmarshal(b, &m); err == nil && c.home != nil {
+				c.link.Send(seal.TopicVote, from, c.home.Claim(now, m))
+			}
+		case seal.TopicVote:
+			var m idempotency.Vote
+			if err = cbor.Unmarshal(b, &m); err == nil {
+				c.req.Receive(now, from, m)
+			}
+		case seal.TopicReport:
+			var m idempotency.Report
+			if err = cbor.Unmarshal(b, &m); err == nil && c.home != nil {
+				c.home.Report(now, m)
+			}
+		case seal.TopicRosterIs:
+			var m control.RosterAnswer
+			if err = cbor.Unmarshal(b, &m); err == nil {
+				c.takeRoster(now, m)
+			}
+		}
+	})
+	return err == nil
+}
+
+// takeRoster takes in the answer to the newest request. The time that counts
+// is the one at which the request went out: an answer may have lain in the
+// socket while this process was frozen.
+func (c *claims) takeRoster(now time.Time, m control.RosterAnswer) {
+	if m.Seq != c.rosterSeq {
+		return
+	}
+	r := idempotency.Roster{Live: m.Live, Complete: m.Complete}
+	for _, g := range m.Gone {
+		r.Gone = append(r.Gone, idempotency.Gone{Addr: g.Addr, Age: time.Duration(g.Age) * time.Second, Left: g.Left})
+	}
+	c.noteService(now, m)
+	c.elect.Update(now, r)
+	c.elect.Confirm(c.rosterSent)
+	if c.home != nil {
+		c.home.Update(now, r)
+		c.home.Confirm(c.rosterSent)
+	}
+}
+
+func (c *claims) noteService(now time.Time, m control.RosterAnswer) {
+	if !slices.Contains(m.Live, c.self) {
+		return
+	}
+	if c.named.IsZero() {
+		c.named = now
+	}
+	c.complete = m.Complete
+	c.live = len(m.Live) - 1
+	c.serving = int(m.Serving)
+}
+
+// tick asks for the roster when that is due and drives the machines.
+func (c *claims) tick(balancer netip.AddrPort, service uint32) {
+	c.do(func(now time.Time) {
+		if now.Sub(c.rosterSent) >= c.freshness/rosterShare && balancer.IsValid() {
+			c.rosterSeq++
+			c.rosterSent = now
+			c.link.Send(seal.TopicRoster, balancer, control.RosterRequest{Service: service, Seq: c.rosterSeq})
+		}
+		if c.home != nil && now.Sub(c.ticked) >= homeTick {
+			c.ticked = now
+			c.home.Tick(now)
+		}
+		c.req.Tick(now)
+	})
+}
+
+// fenced reports whether this agent's start fence is still up: others count on
+// no vote of it yet. c.mu is held.
+func (c *claims) fenced(now time.Time) bool {
+	return c.named.IsZero() || now.Sub(c.named) <= c.cfg.Fence()
+}
+
+// settled reports whether the agent may take new flows: requests with keys can
+// run here, or the service has just begun and has no agent that serves them
+// better. An agent added to a service at work must not draw flows whose
+// requests it has to refuse.
+func (c *claims) settled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.named.IsZero() {
+		return false
+	}
+	atWork := c.live > 0 && 2*c.serving >= c.live
+	return c.complete || !atWork || !c.fenced(time.Now())
+}
+
+// ready reports whether requests with keys can run at this agent.
+func (c *claims) ready() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.home != nil && !c.fenced(time.Now())
+}
+
+// leave ends this agent's votes. It comes before the agent announces that it
+// leaves, so that whoever hears of that may stop counting it.
+func (c *claims) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.home = nil
+}
+
+// Values of HeaderOutcome for requests with a key.
+const (
+	OutcomeRan     = "ran"     // an earlier attempt with the key ran and was answered
+	OutcomeRunning = "running" // an earlier attempt with the key is running
+)
+
+// HeaderFirstStatus is the status that the earlier attempt was answered with.
+const HeaderFirstStatus = "Hemlock-First-Status"
+
+// claimFault is the final answer to a request that may not run.
+func claimFault(e idempotency.Effect) *Fault {
+	f := &Fault{Status: http.StatusConflict, RetryAfter: e.RetryAfter}
+	switch {
+	case e.Kind == idempotency.NotRun:
+		f.Status, f.Outcome, f.Reason = http.StatusServiceUnavailable, OutcomeNotRun, "no_votes"
+		f.Remedy = "no attempt with this key was run; send it again with the same key"
+	case e.Kind == idempotency.Unknown:
+		f.Status, f.Outcome, f.Reason = http.StatusServiceUnavailable, OutcomeUnknown, "no_votes"
+		f.Remedy = "this attempt was not run, an earlier one with the key may have been; send it again with the same key"
+	case e.State == idempotency.Done:
+		f.Outcome, f.Reason, f.FirstStatus = OutcomeRan, "duplicate", e.Status
+		f.Remedy = "the request ran and was answered; read its result instead of sending it again"
+	case e.State == idempotency.Running || e.State == idempotency.Claimed:
+		f.Outcome, f.Reason = OutcomeRunning, "duplicate"
+		f.Remedy = "an attempt with this key is under way; send it again with the same key to learn what became of it"
+		f.RetryAfter = max(f.RetryAfter, time.Second)
+	default:
+		f.Outcome, f.Reason = OutcomeUnknown, "duplicate"
+		f.Remedy = "an attempt with this key was sent to the backend server and its answer was lost; ask the service whether it ran"
+	}
+	return f
+}
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -42,21 +42,18 @@
 	askedAt  time.Time
 	health   chan bool
 	readyAt  time.Time // when the backend server became reachable; zero while it is not
+	settled  bool      // requests with idempotency keys can run here
 	left     bool
 }
 
-func newDuty(a *Agent) (*duty, error) {
-	link, err := control.NewLink(a.cfg.Keys, a.socket)
-	if err != nil {
-		return nil, err
-	}
+func newDuty(a *Agent, link *control.Link) *duty {
 	return &duty{
 		a:      a,
 		link:   link,
 		rng:    newRand(),
 		leaves: make(chan struct{}, 1),
 		health: make(chan bool, 1),
-	}, nil
+	}
 }
 
 // leave makes the duty announce that the agent leaves.
@@ -79,6 +76,7 @@
 			d.judge(time.Now(), up)
 		case <-d.leaves:
 			d.left = true
+			d.a.claims.leave()
 			d.announceState(time.Now())
 		case now := <-tick.C:
 			d.tick(now)
@@ -98,6 +96,21 @@
 		d.announcer.SetWeight(now, d.a.cfg.Ramp.Weight(now.Sub(d.readyAt)))
 	}
 	d.announcer.Tick(now)
+	d.a.claims.tick(d.observer(), d.a.entry.Load().Number)
+	d.a.metrics.keysReady.Set(boolValue(d.a.claims.ready()))
+	if !d.settled && d.a.claims.settled() {
+		d.settled = true
+		d.announceState(now)
+	}
+}
+
+// observer returns a balancer that this agent reports to.
+func (d *duty) observer() netip.AddrPort {
+	observers := d.announcer.Observers()
+	if len(observers) == 0 {
+		return netip.AddrPort{}
+	}
+	return observers[d.rng.IntN(len(observers))]
 }
 
 func (d *duty) flush() {
@@ -125,6 +138,10 @@
 		d.receiveMembership(now, m.From, b)
 	case seal.TopicEntryIs:
 		d.receiveEntry(now, b)
+	case seal.TopicClaim, seal.TopicVote, seal.TopicReport, seal.TopicRosterIs:
+		if !d.a.claims.receive(topic, m.From, b) {
+			d.a.metrics.controlBad.Inc()
+		}
 	default:
 		d.a.metrics.controlBad.Inc()
 	}
@@ -225,6 +242,8 @@
 	switch {
 	case d.left:
 		state = membership.StateLeaving
+	case !d.settled:
+		state = membership.StateStarting
 	case d.readyAt.IsZero():
 		state = membership.StateDraining
 	}
@@ -276,3 +295,10 @@
 		}
 	}
 }
+
+func boolValue(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -16,6 +16,7 @@
 
 	"github.com/hemlockscale/hemlockscale/admission"
 	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/idempotency"
 )
 
 // Headers between callers, agents and backend servers.
@@ -47,17 +48,10 @@
 	entry   *atomic.Pointer[catalogue.Entry]
 	gate    *gate
 	backend *backend
-	claims  claimer
+	claims  *claims
 	metrics *metrics
 }
 
-// claimer keeps non-idempotent requests from running twice.
-type claimer interface {
-	// claim returns nil when the request with the key may run now. A *Fault
-	// is its final answer instead.
-	claim(ctx context.Context, key string) (settle func(status int), fault *Fault)
-}
-
 // Fault is the final answer to a request that the backend server did not
 // answer. Its JSON form is the answer's body.
 type Fault struct {
@@ -66,6 +60,8 @@
 	Reason     string        `json:"reason"`
 	Remedy     string        `json:"remedy"`
 	RetryAfter time.Duration `json:"-"`
+	// FirstStatus is the status of the earlier attempt; 0 if there is none.
+	FirstStatus int `json:"first_status,omitempty"`
 }
 
 func (f *Fault) Error() string { return f.Reason + " (" + f.Outcome + "): " + f.Remedy }
@@ -81,7 +77,7 @@
 		return
 	}
 	defer permit.done(admission.Result{Outcome: admission.Failed})
-	settle, fault := h.claim(ctx, r)
+	claim, fault := h.claim(ctx, r, entry)
 	if fault != nil {
 		permit.done(admission.Result{Outcome: admission.Canceled})
 		h.refuse(w, fault)
@@ -89,27 +85,50 @@
 	}
 	resp, err := h.backend.do(ctx, r, outHeader(r, header.deadline))
 	if err != nil {
-		settle(0)
-		outcome, fault := h.callFault(r, callFailed(err))
+		failed := callFailed(err)
+		claim.finish(stateOfFailure(failed), 0)
+		outcome, fault := h.callFault(r, failed)
 		permit.done(admission.Result{Outcome: outcome})
 		h.refuse(w, fault)
 		return
 	}
 	defer resp.Body.Close()
 	header.stop()
-	settle(resp.StatusCode)
+	claim.finish(stateOfAnswer(resp), resp.StatusCode)
 	permit.opened()
 	h.answer(w, resp)
 	permit.done(result(resp))
 }
 
-// claim asks for the right to run a non-idempotent request with a key.
-func (h *handler) claim(ctx context.Context, r *http.Request) (settle func(int), fault *Fault) {
+// claim asks for the right to run a non-idempotent request with a key. A
+// request without a key is run once by never being sent again.
+func (h *handler) claim(ctx context.Context, r *http.Request, e *catalogue.Entry) (*claim, *Fault) {
 	key := r.Header.Get(HeaderKey)
-	if safeMethod(r.Method) || key == "" || h.claims == nil {
-		return func(int) {}, nil
+	if safeMethod(r.Method) || key == "" {
+		return nil, nil
+	}
+	return h.claims.begin(ctx, idempotency.KeyOf(e.Number, e.Owner, key))
+}
+
+// stateOfFailure tells whether a request without an answer may have run.
+func stateOfFailure(e *CallError) idempotency.State {
+	if e.Sent {
+		return idempotency.Lost
 	}
-	return h.claims.claim(ctx, key)
+	return idempotency.Released
+}
+
+// stateOfAnswer tells whether an answered request ran. A backend server that
+// refuses and says when to come back did not run it, and a repeat may.
+func stateOfAnswer(resp *http.Response) idempotency.State {
+	if shed(resp) && resp.Header.Get("Retry-After") != "" {
+		return idempotency.Released
+	}
+	return idempotency.Done
+}
+
+func shed(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
 }
 
 // headerDeadline bounds the time until the answer's header. A long body may
@@ -231,7 +250,7 @@
 
 // result tells the controller how the backend server took a request.
 func result(resp *http.Response) admission.Result {
-	if resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusTooManyRequests {
+	if !shed(resp) {
 		return admission.Result{Outcome: admission.OK}
 	}
 	seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
@@ -246,6 +265,9 @@
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderOutcome, f.Outcome)
 	header.Set(HeaderReason, f.Reason)
+	if f.FirstStatus > 0 {
+		header.Set(HeaderFirstStatus, strconv.Itoa(f.FirstStatus))
+	}
 	if f.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(wholeSeconds(f.RetryAfter)))
 	}
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -13,6 +13,7 @@
 	controlBad      prometheus.Counter
 	connections     prometheus.Gauge
 	busySlots       prometheus.Gauge
+	keysReady       prometheus.Gauge
 	requests        *prometheus.CounterVec
 	refusals        *prometheus.CounterVec
 }
@@ -44,6 +45,7 @@
 		controlBad:      counter("control_rejected_total", "Control datagrams that could not be opened or read."),
 		connections:     gauge("connections", "Open caller connections."),
 		busySlots:       gauge("busy_slots", "Requests at work on the backend server."),
+		keysReady:       gauge("keys_ready", "1 when requests with idempotency keys can run here."),
 		requests:        vec("requests_total", "Requests by outcome.", "outcome"),
 		refusals:        vec("refusals_total", "Requests refused before anything was sent to the backend server, by reason.", "reason"),
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -32,6 +32,9 @@
 	Seeds    []netip.AddrPort // other balancers' internal addresses
 	Store    store.Interface  // the platform's store
 	Linger   time.Duration    // how long a balancer that leaves goes on forwarding
+	// Retention is how long agents that vanished are named to those that ask
+	// who votes on idempotency keys; 0 is idempotency.DefaultRetention.
+	Retention time.Duration
 }
 
 // Balancer is one balancer. Its lifecycle is New, Run, Drain, Close.
--- a/internal/balancer/duty.go
+++ b/internal/balancer/duty.go
@@ -23,6 +23,7 @@
 	machine *membership.Machine
 	states  chan membership.State
 	placed  map[netip.AddrPort]struct{} // agents that take new flows
+	voters  *voters
 }
 
 func newDuty(b *Balancer) (*duty, error) {
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &duty{b: b, link: link, machine: machine, states: make(chan membership.State, 4), placed: make(map[netip.AddrPort]struct{})}, nil
+	return &duty{b: b, link: link, machine: machine, states: make(chan membership.State, 4), placed: make(map[netip.AddrPort]struct{}), voters: newVoters(time.Now(), b.cfg.Retention)}, nil
 }
 
 func (d *duty) run(ctx context.Context) {
@@ -87,6 +88,8 @@
 		d.machine.Receive(now, m.From, msg)
 	case seal.TopicEntry:
 		d.answerEntry(m.From, b)
+	case seal.TopicRoster:
+		d.answerRoster(now, m.From, b)
 	default:
 		d.b.metrics.controlBad.Inc()
 	}
@@ -121,8 +124,10 @@
 		case membership.ChangeForget:
 			d.b.data.forwarder.peers.forget(c.Record.Addr)
 			d.place(&c.Record, false)
+			d.vote(&c.Record, true)
 		case membership.ChangeRecord:
 			d.place(&c.Record, c.Record.TakesWork())
+			d.vote(&c.Record, false)
 		}
 	}
 }
@@ -138,6 +143,12 @@
 	}
 }
 
+func (d *duty) vote(r *membership.Record, forgotten bool) {
+	if r.Role == membership.RoleAgent {
+		d.voters.set(r, time.Now(), forgotten)
+	}
+}
+
 func (d *duty) place(r *membership.Record, takesWork bool) {
 	if r.Role != membership.RoleAgent {
 		return
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -71,3 +71,30 @@
 	Revision uint64           `cbor:"1,keyasint"` // of the balancer's catalogue
 	Entry    *catalogue.Entry `cbor:"2,keyasint"` // nil if no entry of the name exists
 }
+
+// RosterRequest asks a balancer which agents of a service vote on idempotency
+// keys.
+type RosterRequest struct {
+	Service uint32 `cbor:"1,keyasint"`
+	Seq     uint64 `cbor:"2,keyasint"` // comes back in the answer
+}
+
+// MaxVoters bounds each list of a RosterAnswer, so that it fits one datagram.
+const MaxVoters = 32
+
+// GoneVoter is an agent that voted and is not live any more.
+type GoneVoter struct {
+	Addr netip.AddrPort `cbor:"1,keyasint"`
+	Age  uint32         `cbor:"2,keyasint"` // seconds since it vanished or left
+	Left bool           `cbor:"3,keyasint,omitempty"`
+}
+
+// RosterAnswer is the balancer's view of a service's voters: the MaxVoters
+// agents of lowest hash, live and gone.
+type RosterAnswer struct {
+	Seq      uint64           `cbor:"1,keyasint"`
+	Live     []netip.AddrPort `cbor:"2,keyasint"`
+	Gone     []GoneVoter      `cbor:"3,keyasint,omitempty"`
+	Complete bool             `cbor:"4,keyasint,omitempty"` // Gone reaches back over the whole retention
+	Serving  uint32           `cbor:"5,keyasint,omitempty"` // agents of the service that take new flows
+}
--- a/internal/seal/seal.go
+++ b/internal/seal/seal.go
@@ -16,11 +16,15 @@
 
 // The topics.
 const (
-	TopicMembership Topic = 1
-	TopicCatalogue  Topic = 2
-	TopicClaim      Topic = 3
-	TopicEntry      Topic = 4 // an EntryRequest to a balancer
-	TopicEntryIs    Topic = 5 // an EntryAnswer to an agent
+	TopicMembership Topic = iota + 1
+	TopicCatalogue        // between balancers, package catalogue
+	TopicEntry            // an EntryRequest to a balancer
+	TopicEntryIs          // an EntryAnswer to an agent
+	TopicRoster           // a RosterRequest to a balancer
+	TopicRosterIs         // a RosterAnswer to an agent
+	TopicClaim            // an idempotency.Claim to a home
+	TopicVote             // an idempotency.Vote to a requester
+	TopicReport           // an idempotency.Report to a home
 )
 
 const (
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/idempotency"
 	"github.com/hemlockscale/hemlockscale/internal/agent"
 	"github.com/hemlockscale/hemlockscale/internal/balancer"
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
@@ -86,6 +87,15 @@
 	trialKey     = "1:000102030405060708090a0b0c0d0e0f"
 )
 
+// shortRepeats lets a trial begin after a few seconds: by default an agent whose
+// service has just begun refuses requests with keys for more than a minute.
+var shortRepeats = idempotency.Config{
+	Window:    500 * time.Millisecond,
+	Expiry:    300 * time.Millisecond,
+	Skew:      300 * time.Millisecond,
+	Freshness: time.Second,
+}
+
 // Start starts a deployment. Close ends what an error leaves running.
 func Start(cfg Config) (*Deployment, error) {
 	if cfg.Log == nil {
@@ -256,6 +266,7 @@
 		Certificate: cert,
 		Keys:        d.keys,
 		Seeds:       d.seeds(),
+		Repeats:     shortRepeats,
 	}, d.cfg.Log, prometheus.NewRegistry())
 	if err != nil {
 		server.Close()
@@ -316,6 +327,11 @@
 			return false
 		}
 	}
+	for _, a := range d.Agents {
+		if !a.KeysReady() {
+			return false
+		}
+	}
 	return true
 }
 
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -41,8 +41,15 @@
 	Services  []Service
 	Zones     []string // balancers and agents take turns; default one zone
 	Seed      uint64
+	// RepeatWindow is the window in which a key runs at most once; default
+	// DefaultRepeatWindow. Starting a fleet takes a little longer than it.
+	RepeatWindow time.Duration
 }
 
+// DefaultRepeatWindow is far below the agent's own default, so that a test
+// need not wait for a fence of more than a minute.
+const DefaultRepeatWindow = 2 * time.Second
+
 // Agent is an agent and its backend server.
 type Agent struct {
 	*Process
@@ -95,6 +102,9 @@
 	if len(cfg.Zones) == 0 {
 		cfg.Zones = []string{"zone-a"}
 	}
+	if cfg.RepeatWindow == 0 {
+		cfg.RepeatWindow = DefaultRepeatWindow
+	}
 	f := &Fleet{T: t, cfg: cfg, Addresses: make(map[string]netip.Addr)}
 	// Each fleet has loopback addresses of its own: 127.net.x.y.
 	f.net = byte(10 + (uint32(os.Getpid())+nets.Add(1))%200)
@@ -224,15 +234,19 @@
 		f.T.Fatal(err)
 	}
 	a.env = map[string]string{
-		"HEMLOCK_AGENT_INTERNAL":  a.Internal.String(),
-		"HEMLOCK_AGENT_BALANCERS": f.seeds(),
-		"HEMLOCK_AGENT_FLEET_KEY": fleetKey,
-		"HEMLOCK_AGENT_BACKEND":   "http://" + server.Addr(),
-		"HEMLOCK_AGENT_SERVICE":   s.Name,
-		"HEMLOCK_AGENT_ZONE":      f.cfg.Zones[i%len(f.cfg.Zones)],
-		"HEMLOCK_AGENT_ADMIN":     a.Admin,
-		"HEMLOCK_AGENT_TLS_CERT":  string(cert),
-		"HEMLOCK_AGENT_TLS_KEY":   string(key),
+		"HEMLOCK_AGENT_INTERNAL":         a.Internal.String(),
+		"HEMLOCK_AGENT_BALANCERS":        f.seeds(),
+		"HEMLOCK_AGENT_FLEET_KEY":        fleetKey,
+		"HEMLOCK_AGENT_BACKEND":          "http://" + server.Addr(),
+		"HEMLOCK_AGENT_SERVICE":          s.Name,
+		"HEMLOCK_AGENT_ZONE":             f.cfg.Zones[i%len(f.cfg.Zones)],
+		"HEMLOCK_AGENT_ADMIN":            a.Admin,
+		"HEMLOCK_AGENT_TLS_CERT":         string(cert),
+		"HEMLOCK_AGENT_TLS_KEY":          string(key),
+		"HEMLOCK_AGENT_REPEAT_WINDOW":    f.cfg.RepeatWindow.String(),
+		"HEMLOCK_AGENT_REPEAT_EXPIRY":    "500ms",
+		"HEMLOCK_AGENT_REPEAT_SKEW":      "500ms",
+		"HEMLOCK_AGENT_REPEAT_FRESHNESS": "1s",
 	}
 	a.Process = StartProcess(f.T, fmt.Sprintf("agent-%d-%s", i, s.Name), "hemlock-agent", a.env)
 	f.Agents = append(f.Agents, a)
@@ -269,6 +283,10 @@
 	}
 	for _, a := range f.Agents {
 		f.Eventually(a.Name+" ready", func() bool { return isReady(a.Admin) })
+		f.Eventually(a.Name+" runs requests with keys", func() bool {
+			v, ok := Metric(a.Admin, "hemlock_agent_keys_ready")
+			return ok && v == 1
+		})
 	}
 	want := float64(len(f.Agents))
 	for _, b := range f.Balancers {
