--- a/membership/announcer.go
+++ b/membership/announcer.go
@@ -49,6 +49,7 @@
 	entryOf  netip.AddrPort
 	ackAt    time.Time
 	calledAt time.Time
+	adoptAt  time.Time // when observers were last taken over from an ack
 	out      []Envelope
 }
 
@@ -278,7 +279,7 @@
 	if m.Entry > a.entry {
 		a.entry, a.entryOf = m.Entry, from
 	}
-	if len(m.Peers) > 0 {
+	if len(m.Peers) > 0 && a.mayAdopt(now) {
 		a.adopt(now, m.Peers)
 	}
 	a.acknowledge(now, keyOf(from), m)
@@ -306,6 +307,19 @@
 	}
 }
 
+// mayAdopt limits how often acks replace the observers. Two balancers whose
+// rosters differ name different ones; each replacement makes announcements,
+// and each of these an ack that may name others again. Unlimited, that is a
+// storm at the speed of the network, seen as a process that sends thousands
+// of announcements a second.
+func (a *Announcer) mayAdopt(now time.Time) bool {
+	if len(a.contacts) > 0 && now.Sub(a.adoptAt) < a.cfg.Interval {
+		return false
+	}
+	a.adoptAt = now
+	return true
+}
+
 // adopt takes the observers that a balancer named and keeps the former ones
 // as spares.
 func (a *Announcer) adopt(now time.Time, peers []netip.AddrPort) {
--- a/membership/watch.go
+++ b/membership/watch.go
@@ -46,7 +46,7 @@
 	gap := now.Sub(m.calledAt)
 	first := m.calledAt.IsZero()
 	m.calledAt = now
-	if first || gap < 1000*m.cfg.Timing.PauseAfter {
+	if first || gap < m.cfg.Timing.PauseAfter {
 		return
 	}
 	m.stats.Pauses++
