Balancers spread the catalogue; only holders of contact slots read the store

Cause: every balancer read and watched the store itself: its calls grew with the fleet, and a balancer that started while the store was down had nothing. Change: the control duty runs catalogue.Replica and Follower and membership.Slots; bulk transfers of catalogue and roster over QUIC with keys derived from the fleet key; agents hold their entry by catalogue.Held. Conclusion: store calls now follow zones; the rate is measured in the unit tests of the packages, not yet with processes.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -7,10 +7,10 @@
 	"net/netip"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"github.com/hemlockscale/hemlockscale/admission"
+	"github.com/hemlockscale/hemlockscale/catalogue"
 	"github.com/hemlockscale/hemlockscale/internal/control"
 	"github.com/hemlockscale/hemlockscale/internal/seal"
 	"github.com/hemlockscale/hemlockscale/membership"
@@ -38,18 +38,20 @@
 	rng       *rand.Rand
 	leaves    chan struct{}
 
-	revision uint64 // catalogue revision that the entry is known to be of
-	askedAt  time.Time
-	health   chan bool
-	readyAt  time.Time // when the backend server became reachable; zero while it is not
-	settled  bool      // requests with idempotency keys can run here
-	left     bool
+	held    *catalogue.Held
+	askedAt time.Time
+	turn    int // of observers
+	health  chan bool
+	readyAt time.Time // when the backend server became reachable; zero while it is not
+	settled bool      // requests with idempotency keys can run here
+	left    bool
 }
 
 func newDuty(a *Agent, link *control.Link) *duty {
 	return &duty{
 		a:      a,
 		link:   link,
+		held:   catalogue.NewHeld(a.cfg.Service),
 		rng:    newRand(),
 		leaves: make(chan struct{}, 1),
 		health: make(chan bool, 1),
@@ -104,13 +106,15 @@
 	}
 }
 
-// observer returns a balancer that this agent reports to.
+// observer returns the balancers that this agent reports to in turn, so that
+// one that died spoils no two requests in a row.
 func (d *duty) observer() netip.AddrPort {
 	observers := d.announcer.Observers()
 	if len(observers) == 0 {
 		return netip.AddrPort{}
 	}
-	return observers[d.rng.IntN(len(observers))]
+	d.turn++
+	return observers[d.turn%len(observers)]
 }
 
 func (d *duty) flush() {
@@ -136,7 +140,7 @@
 	switch topic {
 	case seal.TopicMembership:
 		d.receiveMembership(now, m.From, b)
-	case seal.TopicEntryIs:
+	case seal.TopicCatalogue:
 		d.receiveEntry(now, b)
 	case seal.TopicClaim, seal.TopicVote, seal.TopicReport, seal.TopicRosterIs:
 		if !d.a.claims.receive(topic, m.From, b) {
@@ -164,13 +168,11 @@
 	if now.Sub(d.askedAt) < entryRetry {
 		return
 	}
-	request := control.EntryRequest{Service: d.a.cfg.Service}
 	to := netip.AddrPort{}
 	if d.announcer != nil {
-		request.Known = d.a.entry.Load().Version
 		var newest uint64
 		newest, to = d.announcer.Entry()
-		if newest <= d.revision {
+		if newest <= d.held.Revision() {
 			return
 		}
 	}
@@ -181,30 +183,25 @@
 		to = d.a.cfg.Seeds[d.rng.IntN(len(d.a.cfg.Seeds))]
 	}
 	d.askedAt = now
-	d.link.Send(seal.TopicEntry, to, request)
+	d.link.SendBytes(seal.TopicCatalogue, to, d.held.Request().Encode())
 }
 
 func (d *duty) receiveEntry(now time.Time, b []byte) {
-	var answer control.EntryAnswer
-	if err := cbor.Unmarshal(b, &answer); err != nil {
+	m, err := catalogue.DecodeMessage(b)
+	if err != nil {
 		d.a.metrics.controlBad.Inc()
 		return
 	}
-	// An older balancer may answer after a newer one: the entry in force
-	// never goes back.
-	if answer.Revision < d.revision {
-		return
-	}
-	if e := answer.Entry; e != nil && e.Service == d.a.cfg.Service {
-		if old := d.a.entry.Load(); old == nil || e.Version > old.Version {
-			d.a.setEntry(e)
-		}
-	}
-	if d.a.entry.Load() == nil {
+	changed := d.held.Receive(m)
+	entry, found := d.held.Entry()
+	if !changed || !found {
+		// An entry that was deleted leaves the last one in force for the
+		// flows that are open; balancers send no new ones.
 		return
 	}
-	d.revision = answer.Revision
-	if d.announcer == nil {
+	d.a.setEntry(&entry)
+	// A service that was deleted and entered again has a new number.
+	if d.announcer == nil || d.announcer.Self().Service != entry.Number {
 		d.startAnnouncing(now)
 	}
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/internal/bulk"
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
 	"github.com/hemlockscale/hemlockscale/internal/store"
 	"github.com/hemlockscale/hemlockscale/internal/udp"
@@ -46,7 +47,8 @@
 	data     *dataplane
 	places   *places
 	address  *addresses
-	current  atomic.Pointer[catalogue.Catalogue] // never changed once stored
+	digest   atomic.Pointer[catalogue.Digest] // of the catalogue in force, nil for none
+	bulk     *bulk.Port
 	metrics  *metrics
 	control  *duty
 
@@ -94,7 +96,10 @@
 	if b.data, err = newDataplane(b.cfg.Keys, b.public, b.internal, f, b.places, b.metrics); err != nil {
 		return err
 	}
-	b.control, err = newDuty(b)
+	if b.control, err = newDuty(b); err != nil {
+		return err
+	}
+	b.bulk, err = bulk.Listen(b.cfg.Keys, bulkAddr(b.cfg.Internal), b.serveBulk)
 	return err
 }
 
@@ -106,30 +111,18 @@
 
 // Revision returns the catalogue revision in force, 0 for none.
 func (b *Balancer) Revision() uint64 {
-	if c := b.current.Load(); c != nil {
-		return c.Revision()
+	if d := b.digest.Load(); d != nil {
+		return d.Revision
 	}
 	return 0
 }
 
 // Ready reports whether the balancer knows the catalogue.
-func (b *Balancer) Ready() bool { return b.current.Load() != nil }
+func (b *Balancer) Ready() bool { return b.digest.Load() != nil }
 
 // AgentsReady returns how many agents take new flows.
 func (b *Balancer) AgentsReady() int { return int(b.agentsReady.Load()) }
 
-// putCatalogue puts a catalogue in force. The revision only grows.
-func (b *Balancer) putCatalogue(c *catalogue.Catalogue) {
-	if old := b.current.Load(); old != nil && c.Revision() <= old.Revision() {
-		return
-	}
-	b.current.Store(c)
-	b.address.table.Store(c.Table())
-	b.metrics.revision.Set(float64(c.Revision()))
-	b.log.Info("catalogue in force", zap.Uint64("revision", c.Revision()), zap.Stringer("checksum", c.Checksum()))
-	b.announce(membership.StateReady)
-}
-
 func (b *Balancer) announce(s membership.State) {
 	select {
 	case b.control.states <- s:
@@ -144,7 +137,7 @@
 	g.Add(b.data.inward, stop)
 	g.Add(b.data.outward, stop)
 	g.Add(func() error { b.control.run(b.ctx); return nil }, stop)
-	g.Add(func() error { b.follow(b.ctx); return nil }, stop)
+	g.Add(b.bulk.Serve, stop)
 	return g.Run()
 }
 
@@ -164,6 +157,9 @@
 		b.cancel()
 		b.public.Close()
 		b.internal.Close()
+		if b.bulk != nil {
+			b.bulk.Close()
+		}
 	})
 }
 
@@ -179,8 +175,8 @@
 // ServeStatus answers the admin page /catalogue.
 func (b *Balancer) ServeStatus(w http.ResponseWriter, _ *http.Request) {
 	s := Status{Node: b.cfg.Internal.String(), Role: "balancer", Zone: b.cfg.Zone}
-	if c := b.current.Load(); c != nil {
-		s.Revision, s.Checksum = c.Revision(), c.Checksum().String()
+	if d := b.digest.Load(); d != nil {
+		s.Revision, s.Checksum = d.Revision, d.Checksum.String()
 	}
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(s)
--- a/internal/balancer/duty.go
+++ b/internal/balancer/duty.go
@@ -2,28 +2,40 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/hemlockscale/hemlockscale/catalogue"
 	"github.com/hemlockscale/hemlockscale/internal/control"
 	"github.com/hemlockscale/hemlockscale/internal/seal"
 	"github.com/hemlockscale/hemlockscale/membership"
+	"github.com/hemlockscale/hemlockscale/placement"
 )
 
 const controlTick = 100 * time.Millisecond
 
-// duty is the control duty: it keeps the roster and answers agents. One
-// goroutine runs it.
+// duty is the control duty: it keeps the roster and the catalogue, and answers
+// agents and other balancers. One goroutine runs it.
 type duty struct {
-	b       *Balancer
-	link    *control.Link
-	machine *membership.Machine
-	states  chan membership.State
-	placed  map[netip.AddrPort]struct{} // agents that take new flows
-	voters  *voters
+	b        *Balancer
+	link     *control.Link
+	machine  *membership.Machine
+	replica  *catalogue.Replica
+	follower *catalogue.Follower
+	slots    *membership.Slots
+	calls    *storeCalls
+	rng      *rand.Rand
+	peers    *peerSet
+	placed   map[netip.AddrPort]struct{} // agents that take new flows
+	voters   *voters
+
+	states    chan membership.State
+	questions chan bulkQuestion
+	answers   chan bulkAnswer
+	seeded    int // contacts from the store among the machine's seeds
 }
 
 func newDuty(b *Balancer) (*duty, error) {
@@ -32,24 +44,49 @@
 		return nil, err
 	}
 	link.Sent = func(n int) { b.metrics.controlSent.Add(float64(n)) }
-	machine, err := membership.NewMachine(membership.Config{
+	now := time.Now()
+	d := &duty{
+		b:         b,
+		link:      link,
+		calls:     newStoreCalls(b.cfg.Store),
+		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		placed:    make(map[netip.AddrPort]struct{}),
+		voters:    newVoters(now, b.cfg.Retention),
+		states:    make(chan membership.State, 4),
+		questions: make(chan bulkQuestion),
+		answers:   make(chan bulkAnswer, bulkResults),
+	}
+	d.peers = newPeerSet(b.cfg.Internal, b.cfg.Seeds, d.rng)
+	d.replica = catalogue.NewReplica(catalogue.ReplicaConfig{Peers: d.peers.sample})
+	d.follower = catalogue.NewFollower(catalogue.FollowerConfig{Rand: d.rng}, d.replica)
+	incarnation := uint64(now.UnixNano())
+	d.machine, err = membership.NewMachine(membership.Config{
 		Self: membership.Record{
 			Addr:        b.cfg.Internal,
 			Role:        membership.RoleBalancer,
 			State:       membership.StateStarting,
-			Weight:      255,
-			Incarnation: uint64(time.Now().UnixNano()),
+			Weight:      placement.FullWeight,
+			Incarnation: incarnation,
+			Bulk:        bulkAddr(b.cfg.Internal).Port(),
 			Zone:        b.cfg.Zone,
 			Region:      b.cfg.Region,
 		},
 		Seeds: b.cfg.Seeds,
-		Seed:  uint64(time.Now().UnixNano()),
+		Seed:  d.rng.Uint64(),
 		Entry: b.Revision,
 	})
 	if err != nil {
 		return nil, err
 	}
-	return &duty{b: b, link: link, machine: machine, states: make(chan membership.State, 4), placed: make(map[netip.AddrPort]struct{}), voters: newVoters(time.Now(), b.cfg.Retention)}, nil
+	d.slots = membership.NewSlots(now, membership.SlotsConfig{
+		Zone:        b.cfg.Zone,
+		Self:        b.cfg.Internal,
+		Incarnation: incarnation,
+		Claims:      true,
+		Seed:        d.rng.Uint64(),
+		Candidate:   d.machine.SlotCandidate,
+	})
+	return d, nil
 }
 
 func (d *duty) run(ctx context.Context) {
@@ -61,16 +98,46 @@
 			d.receive(time.Now(), m)
 		case s := <-d.states:
 			d.machine.SetState(time.Now(), s)
+		case r := <-d.calls.followed:
+			d.follower.Done(time.Now(), r)
+		case r := <-d.calls.slotted:
+			d.slots.Done(time.Now(), d.calls.slotDone(r))
+		case q := <-d.questions:
+			d.answerBulk(q)
+		case a := <-d.answers:
+			d.takeBulk(time.Now(), a)
 		case now := <-tick.C:
 			d.machine.Tick(now)
+			d.replica.Tick(now)
 		case <-ctx.Done():
 			return
 		}
+		d.callStore(ctx, time.Now())
+		d.fetchBulk(ctx)
 		d.applyChanges()
+		d.flushCatalogue()
 		d.flush()
 	}
 }
 
+// callStore makes the calls to the platform's store that are due. Only the
+// holder of a contact slot follows the catalogue there; all others have it from
+// balancers, so that the store's calls grow with zones and not with the fleet.
+func (d *duty) callStore(ctx context.Context, now time.Time) {
+	if call, ok := d.slots.Next(now); ok {
+		d.calls.slot(ctx, call)
+	}
+	if _, holds := d.slots.Holds(now); holds {
+		d.calls.follow(ctx, d.follower.Next(now))
+	}
+	if contacts := d.slots.Contacts(); len(contacts) != d.seeded {
+		d.seeded = len(contacts)
+		seeds := append(contacts, d.b.cfg.Seeds...)
+		d.machine.SetSeeds(seeds)
+		d.peers.setSeeds(seeds)
+	}
+}
+
 func (d *duty) receive(now time.Time, m control.Datagram) {
 	d.b.metrics.controlReceived.Add(float64(len(m.Data)))
 	topic, b, ok := d.link.Open(m)
@@ -86,8 +153,8 @@
 			return
 		}
 		d.machine.Receive(now, m.From, msg)
-	case seal.TopicEntry:
-		d.answerEntry(m.From, b)
+	case seal.TopicCatalogue:
+		d.receiveCatalogue(now, m.From, b)
 	case seal.TopicRoster:
 		d.answerRoster(now, m.From, b)
 	default:
@@ -95,26 +162,6 @@
 	}
 }
 
-// answerEntry tells an agent its catalogue entry, or that there is none.
-func (d *duty) answerEntry(to netip.AddrPort, b []byte) {
-	var request control.EntryRequest
-	if err := cbor.Unmarshal(b, &request); err != nil {
-		d.b.metrics.controlBad.Inc()
-		return
-	}
-	c := d.b.current.Load()
-	if c == nil {
-		return // the agent asks again
-	}
-	answer := control.EntryAnswer{Revision: c.Revision()}
-	if e, ok := c.Entry(request.Service); ok && e.Version > request.Known {
-		answer.Entry = &e
-	}
-	if err := d.link.Send(seal.TopicEntryIs, to, answer); err != nil {
-		d.b.log.Error("entry not sent", zap.Error(err))
-	}
-}
-
 // applyChanges puts changes of the roster in force for new flows.
 func (d *duty) applyChanges() {
 	for _, c := range d.machine.Changes() {
@@ -125,9 +172,11 @@
 			d.b.data.forwarder.peers.forget(c.Record.Addr)
 			d.place(&c.Record, false)
 			d.vote(&c.Record, true)
+			d.notePeer(&c.Record, true)
 		case membership.ChangeRecord:
 			d.place(&c.Record, c.Record.TakesWork())
 			d.vote(&c.Record, false)
+			d.notePeer(&c.Record, false)
 		}
 	}
 }
@@ -143,6 +192,14 @@
 	}
 }
 
+// notePeer keeps the balancers that the catalogue spreads to.
+func (d *duty) notePeer(r *membership.Record, forgotten bool) {
+	if r.Role != membership.RoleBalancer {
+		return
+	}
+	d.peers.set(r.Addr, !forgotten && r.Verdict != membership.VerdictDead)
+}
+
 func (d *duty) vote(r *membership.Record, forgotten bool) {
 	if r.Role == membership.RoleAgent {
 		d.voters.set(r, time.Now(), forgotten)
--- /dev/null
+++ b/internal/balancer/spread.go
@@ -0,0 +1,173 @@
+package balancer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/internal/bulk"
+	"github.com/hemlockscale/hemlockscale/internal/seal"
+	"github.com/hemlockscale/hemlockscale/membership"
+)
+
+const (
+	// bulkLimit is how long one bulk transfer may take.
+	bulkLimit = 20 * time.Second
+	// bulkPortOffset is added to the port of the internal address: the bulk
+	// socket of every balancer is found without being announced first.
+	bulkPortOffset = 1
+	// bulkResults is how many finished transfers may wait for the control
+	// duty; at most one of each kind is under way.
+	bulkResults = 2
+)
+
+// bulkAnswer is a finished transfer from a peer.
+type bulkAnswer struct {
+	from      netip.AddrPort
+	kind      bulk.Kind
+	catalogue catalogue.Bulk
+	roster    []membership.Record
+	err       error
+}
+
+// bulkQuestion is a peer's request, answered by the control duty, which alone
+// reads the state.
+type bulkQuestion struct {
+	kind    bulk.Kind
+	request []byte
+	reply   chan func(io.Writer) error
+}
+
+func bulkAddr(internal netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(internal.Addr(), internal.Port()+bulkPortOffset)
+}
+
+// serveBulk is the handler of the bulk port.
+func (b *Balancer) serveBulk(ctx context.Context, kind bulk.Kind, request []byte, w io.Writer) error {
+	q := bulkQuestion{kind: kind, request: request, reply: make(chan func(io.Writer) error, 1)}
+	select {
+	case b.control.questions <- q:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-b.ctx.Done():
+		return b.ctx.Err()
+	}
+	select {
+	case write := <-q.reply:
+		return write(w)
+	case <-b.ctx.Done():
+		return b.ctx.Err()
+	}
+}
+
+// answerBulk copies the state asked for, to be written by the asker's own
+// goroutine.
+func (d *duty) answerBulk(q bulkQuestion) {
+	switch q.kind {
+	case bulk.KindCatalogue:
+		var have catalogue.Digest
+		if err := cbor.Unmarshal(q.request, &have); err != nil {
+			q.reply <- func(io.Writer) error { return err }
+			return
+		}
+		q.reply <- d.replica.Bulk(have).Write
+	case bulk.KindRoster:
+		all, err := d.machine.EncodeAll()
+		q.reply <- func(w io.Writer) error {
+			if err == nil {
+				_, err = w.Write(all)
+			}
+			return err
+		}
+	default:
+		q.reply <- func(io.Writer) error { return &bulk.PeerError{} }
+	}
+}
+
+// fetchBulk starts the transfers that the state machines ask for.
+func (d *duty) fetchBulk(ctx context.Context) {
+	if peer, ok := d.replica.NeedsBulk(); ok {
+		request, err := cbor.Marshal(d.replica.Digest())
+		if err == nil {
+			go d.fetch(ctx, bulkAnswer{from: peer, kind: bulk.KindCatalogue}, request)
+		}
+	}
+	if peer, ok := d.machine.NeedsBulk(); ok {
+		go d.fetch(ctx, bulkAnswer{from: peer.Addr, kind: bulk.KindRoster}, nil)
+	}
+}
+
+func (d *duty) fetch(ctx context.Context, a bulkAnswer, request []byte) {
+	limited, cancel := context.WithTimeout(ctx, bulkLimit)
+	defer cancel()
+	a.err = d.b.bulk.Fetch(limited, bulkAddr(a.from), a.kind, request, func(r io.Reader) (err error) {
+		if a.kind == bulk.KindCatalogue {
+			a.catalogue, err = catalogue.ReadBulk(r)
+			return err
+		}
+		var all bytes.Buffer
+		if _, err = all.ReadFrom(r); err == nil {
+			a.roster, err = membership.DecodeAll(all.Bytes())
+		}
+		return err
+	})
+	select {
+	case d.answers <- a:
+	case <-ctx.Done():
+	}
+}
+
+func (d *duty) takeBulk(now time.Time, a bulkAnswer) {
+	if a.err != nil {
+		d.b.log.Warn("bulk transfer failed", zap.Stringer("from", a.from), zap.Error(a.err))
+		if a.kind == bulk.KindCatalogue {
+			d.replica.BulkFailed()
+		}
+		return
+	}
+	if a.kind == bulk.KindRoster {
+		d.machine.MergeAll(now, a.roster)
+		return
+	}
+	if err := d.replica.ReceiveBulk(now, a.from, a.catalogue); err != nil {
+		d.b.log.Info("bulk transfer brought nothing", zap.Stringer("from", a.from), zap.Error(err))
+	}
+}
+
+// receiveCatalogue takes in a message of another replica or of an agent.
+func (d *duty) receiveCatalogue(now time.Time, from netip.AddrPort, b []byte) {
+	m, err := catalogue.DecodeMessage(b)
+	if err != nil {
+		d.b.metrics.controlBad.Inc()
+		return
+	}
+	d.replica.Receive(now, from, m)
+}
+
+// flushCatalogue sends what the replica wants sent and puts its state in force.
+func (d *duty) flushCatalogue() {
+	for _, p := range d.replica.Outgoing() {
+		d.link.SendBytes(seal.TopicCatalogue, p.To, p.Message.Encode())
+	}
+	digest := d.replica.Digest()
+	old := d.b.digest.Load()
+	if old != nil && old.Revision == digest.Revision && old.Checksum == digest.Checksum {
+		return
+	}
+	if digest.Revision == 0 {
+		return
+	}
+	d.b.digest.Store(&digest)
+	d.b.address.table.Store(d.replica.Table())
+	d.b.metrics.revision.Set(float64(digest.Revision))
+	d.b.log.Info("catalogue in force", zap.Uint64("revision", digest.Revision), zap.Stringer("checksum", digest.Checksum))
+	if old == nil {
+		d.machine.SetState(time.Now(), membership.StateReady)
+	}
+}
--- /dev/null
+++ b/internal/bulk/bulk_test.go
@@ -0,0 +1,83 @@
+package bulk
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	keyOne = "1:000102030405060708090a0b0c0d0e0f"
+	keyTwo = "2:101112131415161718191a1b1c1d1e1f"
+)
+
+func listen(t *testing.T, keys string, h Handler) *Port {
+	t.Helper()
+	ring, err := fleetkey.Parse(keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := Listen(ring, netip.MustParseAddrPort("127.0.0.1:0"), h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- p.Serve() }()
+	t.Cleanup(func() {
+		p.Close()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return p
+}
+
+func (p *Port) local() netip.AddrPort { return netip.MustParseAddrPort(p.socket.LocalAddr().String()) }
+
+// echo answers with the request, many times over.
+func echo(_ context.Context, kind Kind, request []byte, w io.Writer) error {
+	_, err := w.Write(bytes.Repeat(append([]byte{byte(kind)}, request...), 100_000))
+	return err
+}
+
+func fetch(p, from *Port) (answer []byte, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	err = p.Fetch(ctx, from.local(), KindRoster, []byte("abc"), func(r io.Reader) (err error) {
+		answer, err = io.ReadAll(r)
+		return err
+	})
+	return answer, err
+}
+
+func TestFetchBetweenRotatedKeys(t *testing.T) {
+	old := listen(t, keyOne+","+keyTwo, echo)
+	fresh := listen(t, keyTwo+","+keyOne, echo)
+	got, err := fetch(fresh, old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := bytes.Repeat([]byte("\x02abc"), 100_000); !bytes.Equal(got, want) {
+		t.Errorf("got %d bytes, want %d", len(got), len(want))
+	}
+}
+
+// TestStrangerIsRefused: symptom: a process outside the fleet reads the
+// catalogue and the roster. Sequence: it connects to the bulk port with a
+// certificate of its own. Cause: the port did not ask for proof of a fleet key.
+func TestStrangerIsRefused(t *testing.T) {
+	served := listen(t, keyOne, echo)
+	stranger := listen(t, keyTwo, echo)
+	if got, err := fetch(stranger, served); err == nil {
+		t.Fatalf("a stranger got %d bytes", len(got))
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -7,7 +7,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/hemlockscale/hemlockscale/catalogue"
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
 	"github.com/hemlockscale/hemlockscale/internal/seal"
 	"github.com/hemlockscale/hemlockscale/internal/udp"
@@ -60,18 +59,6 @@
 // Open returns the topic and the encoded message of a datagram.
 func (l *Link) Open(d Datagram) (seal.Topic, []byte, bool) { return l.box.Open(d.Data) }
 
-// EntryRequest asks a balancer for one catalogue entry.
-type EntryRequest struct {
-	Service string `cbor:"1,keyasint"`
-	Known   uint64 `cbor:"2,keyasint"` // version that the asker has, 0 for none
-}
-
-// EntryAnswer is sent when the balancer's entry is newer than the asker's.
-type EntryAnswer struct {
-	Revision uint64           `cbor:"1,keyasint"` // of the balancer's catalogue
-	Entry    *catalogue.Entry `cbor:"2,keyasint"` // nil if no entry of the name exists
-}
-
 // RosterRequest asks a balancer which agents of a service vote on idempotency
 // keys.
 type RosterRequest struct {
--- a/internal/seal/seal.go
+++ b/internal/seal/seal.go
@@ -17,9 +17,7 @@
 // The topics.
 const (
 	TopicMembership Topic = iota + 1
-	TopicCatalogue        // between balancers, package catalogue
-	TopicEntry            // an EntryRequest to a balancer
-	TopicEntryIs          // an EntryAnswer to an agent
+	TopicCatalogue        // a catalogue.Message
 	TopicRoster           // a RosterRequest to a balancer
 	TopicRosterIs         // a RosterAnswer to an agent
 	TopicClaim            // an idempotency.Claim to a home
