Placement: send back what a busier alternate gets; keep repeats

Change: the agent that a flow was handed on to decides by the same rule, with the primary's own occupancy; the primary notes what comes back (Keep). An Initial 0.9 s after a hand-on is a repeat and stays at the primary. It costs a second hop between agents for some Initials.

--- a/placement/decider.go
+++ b/placement/decider.go
@@ -25,6 +25,11 @@
 	DefaultDecisions = 2048
 )
 
+// repeatAfter is the age of a decision from which another Initial packet is a
+// repeat: a caller that got no answer repeats after about a second (RFC 9002,
+// 6.2.2), one that got an answer uses the agent's connection ID from then on.
+const repeatAfter = 900 * time.Millisecond
+
 // decisionWays is the number of decisions that share one set.
 const decisionWays = 4
 
@@ -47,9 +52,15 @@
 // When more flows arrive within TTL than it can remember, the decision closest
 // to its end is forgotten and counted in Forgotten. A forgotten flow whose
 // handshake is still under way may be decided anew, which costs that handshake.
+//
+// The agent that a flow is handed on to decides by the same rule, with the
+// primary as its alternate: belief is stale, and the two agents' own counts
+// settle which is busier. The primary keeps what comes back ([Decider.Keep]).
 type Decider struct {
 	// Forgotten counts decisions that were dropped before their time.
 	Forgotten uint64
+	// Unanswered counts flows handed on that came back as a repeat.
+	Unanswered uint64
 
 	seed   uint64
 	margin int
@@ -80,16 +91,38 @@
 }
 
 // Decide returns what to do with an Initial packet that carries cid. own is the
-// agent's own occupancy; alt is the alternate in the packet's header, if any.
+// agent's own occupancy. At the primary, alt is the alternate in the packet's
+// header, if any; at the agent that it was handed on to, alt is the primary.
 func (d *Decider) Decide(now time.Time, cid []byte, own Occupancy, alt Alternate, hasAlternate bool) Decision {
-	id := hashID(cid, d.seed)
 	at := now.UnixMilli()
+	r, known := d.find(cid, at)
+	if known {
+		d.dropUnanswered(r, at)
+		return r.decision()
+	}
+	if hasAlternate && d.handsOn(own, alt.Occupancy) {
+		r.to, _ = pack(alt.Addr)
+	}
+	return r.decision()
+}
+
+// Keep notes that the flow stays: the agent that it was handed on to sent it
+// back.
+func (d *Decider) Keep(now time.Time, cid []byte) {
+	r, _ := d.find(cid, now.UnixMilli())
+	r.to = 0
+}
+
+// find returns the place of the decision on cid, and whether it was made. A new
+// place takes the one closest to its end.
+func (d *Decider) find(cid []byte, at int64) (r *remembered, known bool) {
+	id := hashID(cid, d.seed)
 	set := &d.sets[id&uint64(len(d.sets)-1)]
 	oldest := &set[0]
 	for i := range set {
 		r := &set[i]
 		if r.id == id && at < r.until {
-			return r.decision()
+			return r, true
 		}
 		if r.until < oldest.until {
 			oldest = r
@@ -99,10 +132,18 @@
 		d.Forgotten++
 	}
 	*oldest = remembered{id: id, until: at + d.ttl}
-	if hasAlternate && d.handsOn(own, alt.Occupancy) {
-		oldest.to, _ = pack(alt.Addr)
+	return oldest, false
+}
+
+// dropUnanswered keeps a flow that was handed on when its Initial is repeated.
+// The agent it was handed on to may have died a moment ago: without this every
+// repeat would follow it, and the caller would wait until the decision ends.
+func (d *Decider) dropUnanswered(r *remembered, at int64) {
+	made := r.until - d.ttl
+	if r.to != 0 && at >= made+repeatAfter.Milliseconds() {
+		r.to = 0
+		d.Unanswered++
 	}
-	return oldest.decision()
 }
 
 func (r *remembered) decision() Decision {
