Placement: a belief ages towards unknown

Cause: a belief held at full worth until MaxAge kept naming agents whose load had changed or who had died. Change: it moves in a straight line from what was reported to Unknown.

--- a/placement/load.go
+++ b/placement/load.go
@@ -92,7 +92,7 @@
 	if !ok || age > l.maxAge {
 		return l.unknown
 	}
-	return o
+	return Occupancy(int64(o) + (int64(l.unknown)-int64(o))*int64(age)/int64(l.maxAge+1))
 }
 
 func (l *Load) get(packed, now uint64) (o Occupancy, age uint64, ok bool) {
