Placement: alternates prefer the own zone by one request

Cause: three of four flows crossed zones. Change: agents in other zones count RemotePenalty more when alternates are compared; the primary stays without zones, because balancers of two zones that disagree on it waste handshakes. Where the fabric sprays over all zones the packets of a flow cross them anyway.

--- a/cmd/hemlock-lab/main.go
+++ b/cmd/hemlock-lab/main.go
@@ -69,10 +69,12 @@
 	fs.IntVar(&s.options.Table.Samples, "samples", 0, "agents that a balancer compares for the alternate; 0 is the default")
 	fs.IntVar(&s.options.Decider.Margin, "margin", 0, "occupancy by which the primary must exceed the alternate; 0 is the default")
 	fs.DurationVar(&s.options.Load.MaxAge, "max-age", 0, "age from which a report counts as unknown; 0 is the default")
+	remote := fs.Uint("remote-penalty", placement.DefaultRemotePenalty, "occupancy added to alternates in other zones, 0 to 255")
 	unknown := fs.Uint("unknown", 0, "occupancy assumed of an unknown agent, 1 to 254; 0 is the default")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("HEMLOCK")); err != nil {
 		return s, err
 	}
+	s.options.Table.RemotePenalty = uint8(*remote)
 	s.options.Load.Unknown = placement.Occupancy(*unknown)
 	return s, s.check(fs)
 }
--- a/placement/alternate.go
+++ b/placement/alternate.go
@@ -16,7 +16,7 @@
 func (t *Table) Alternate(cid []byte, primary int, load *Load, now time.Time) (alt Alternate, ok bool) {
 	h := hashID(cid, ^t.seed)
 	at := ticks(now)
-	best, bestOccupancy := None, Full
+	best, bestCost, bestOccupancy := None, 0, Full
 	n := len(t.entries)
 	for k := range min(n, int(t.samples)+1) {
 		i := sample(h, k, n, int(t.samples))
@@ -24,8 +24,12 @@
 			continue
 		}
 		o := load.believed(t.entries[i].addr(), at)
-		if best == None || o < bestOccupancy {
-			best, bestOccupancy = i, o
+		cost := int(o)
+		if !t.entries[i].local() {
+			cost += int(t.remote)
+		}
+		if best == None || cost < bestCost {
+			best, bestCost, bestOccupancy = i, cost, o
 		}
 	}
 	if best == None {
--- a/placement/decider_test.go
+++ b/placement/decider_test.go
@@ -129,6 +129,31 @@
 	}
 }
 
+func TestAlternatePrefersOwnZoneWithinPenalty(t *testing.T) {
+	agents := testAgents(3)
+	cfg := Config{Zone: agents[1].Zone, RemotePenalty: DefaultRemotePenalty}
+	table, err := NewTable(cfg, agents)
+	if err != nil {
+		t.Fatal(err)
+	}
+	primary := 0
+	for table.Addr(primary) != agents[0].Addr {
+		primary++
+	}
+	for _, c := range []struct {
+		own  Occupancy
+		want int
+	}{{50 + DefaultRemotePenalty - 1, 1}, {50 + DefaultRemotePenalty + 1, 2}} {
+		l := NewLoad(3, LoadOptions{})
+		l.Report(agents[1].Addr, c.own, testStart)
+		l.Report(agents[2].Addr, 50, testStart)
+		alt, _ := table.Alternate(testID(1), primary, l, testStart)
+		if alt.Addr != agents[c.want].Addr {
+			t.Errorf("own zone at %d: alternate %v", c.own, alt)
+		}
+	}
+}
+
 func TestRampRisesToFullInItsSteps(t *testing.T) {
 	r := Ramp{Duration: 10 * time.Second, Steps: 4}
 	last, steps := uint8(0), 0
--- a/placement/table.go
+++ b/placement/table.go
@@ -33,8 +33,17 @@
 	// Samples is how many other agents Alternate compares; default
 	// DefaultSamples, at most 255.
 	Samples int
+	// RemotePenalty is added to the believed occupancy of agents in other
+	// zones when alternates are compared; 0 is no preference for a zone. The
+	// primary knows no zones: balancers of two zones must choose the same one.
+	// The daemons use DefaultRemotePenalty.
+	RemotePenalty uint8
 }
 
+// DefaultRemotePenalty is one request at an agent of 5 slots: ties go to the
+// own zone, and the balance stays within what was measured without it.
+const DefaultRemotePenalty = 8
+
 // DefaultSamples is the default of Config.Samples.
 const DefaultSamples = 6
 
@@ -73,6 +82,7 @@
 	local   []uint32 // indices of the agents in the balancer's zone; nil when none or all are
 	shift   uint8    // hash >> shift is a part of the ring
 	samples uint8
+	remote  uint8 // Config.RemotePenalty
 	top     uint8 // highest weight
 	even    bool  // all weights are equal
 }
@@ -145,7 +155,7 @@
 }
 
 func newTable(cfg Config, entries []entry) *Table {
-	t := &Table{seed: cfg.Seed, entries: entries, samples: uint8(cfg.Samples), even: true}
+	t := &Table{seed: cfg.Seed, entries: entries, samples: uint8(cfg.Samples), remote: cfg.RemotePenalty, even: true}
 	if cfg.Samples == 0 {
 		t.samples = DefaultSamples
 	}
