--- a/placement/lab/model.go
+++ b/placement/lab/model.go
@@ -205,9 +205,10 @@
 // work puts the flow's request on a slot that it holds already.
 func (m *model) work(id int32, wait time.Duration) {
 	f := &m.flows[id]
-	m.stats.wait(m, wait)
-	length := float64(f.service(m.c.Tail)) * m.servers[f.server].factor(&m.c, m.now)
-	m.events.push(event{at: m.now + time.Duration(length), kind: finish, id: id})
+	factor := m.servers[f.server].factor(&m.c, m.now)
+	m.stats.wait(m, wait, factor)
+	length := time.Duration(float64(f.service(m.c.Tail)) * factor)
+	m.events.push(event{at: m.now + length, kind: finish, id: id})
 }
 
 func (m *model) finish(id int32) {
--- a/placement/lab/result.go
+++ b/placement/lab/result.go
@@ -11,6 +11,7 @@
 	Instant   float64       // max/mean of busy slots, mean over samples
 	WaitP50   time.Duration // of requests for a slot
 	WaitP99   time.Duration
+	Slowed    float64 // mean factor of slow and cold servers on service times
 	Refused   float64 // share of requests
 	CrossZone float64 // share of flows whose balancer is in another zone
 	HandedOn  float64 // share of flows that the first agent passed on
@@ -29,6 +30,7 @@
 		Instant:   s.instants.value(),
 		WaitP50:   quantile(s, 50),
 		WaitP99:   quantile(s, 99),
+		Slowed:    s.factors.value(),
 		Refused:   share(s.refused, s.requests),
 		CrossZone: share(s.crossZone, s.flows),
 		HandedOn:  share(s.handedOn, s.flows),
@@ -59,6 +61,7 @@
 		sum.Instant += r.Instant
 		sum.WaitP50 += r.WaitP50
 		sum.WaitP99 += r.WaitP99
+		sum.Slowed += r.Slowed
 		sum.Refused += r.Refused
 		sum.CrossZone += r.CrossZone
 		sum.HandedOn += r.HandedOn
@@ -72,7 +75,7 @@
 	sum.WaitP50 /= time.Duration(n)
 	sum.WaitP99 /= time.Duration(n)
 	for _, x := range []*float64{
-		&sum.Whole, &sum.Window, &sum.Instant, &sum.Refused,
+		&sum.Whole, &sum.Window, &sum.Instant, &sum.Slowed, &sum.Refused,
 		&sum.CrossZone, &sum.HandedOn, &sum.Split, &sum.Lost,
 	} {
 		*x /= float64(n)
--- a/placement/lab/stats.go
+++ b/placement/lab/stats.go
@@ -11,7 +11,7 @@
 	flows, crossZone, split, handedOn, lost uint64
 	requests, refused, broken               uint64
 	waits                                   *hdrhistogram.Histogram
-	windows, instants                       mean
+	windows, instants, factors              mean
 }
 
 func newStats() stats {
@@ -59,8 +59,9 @@
 	}
 }
 
-func (s *stats) wait(m *model, d time.Duration) {
+func (s *stats) wait(m *model, d time.Duration, factor float64) {
 	if m.now >= m.c.Warmup {
+		s.factors.add(factor)
 		s.requests++
 		s.waits.RecordValue(d.Microseconds() + 1)
 	}
