Placement: the ramp counts for alternates; Choose in one hash

Change: lacking weight counts against an alternate (>>3); Choose hashes the ID once; no division per sample.

--- a/placement/alternate.go
+++ b/placement/alternate.go
@@ -14,8 +14,31 @@
 // Alternate returns the agent believed least loaded among a few sampled others.
 // ok is false when the service has no other agent.
 func (t *Table) Alternate(cid []byte, primary int, load *Load, now time.Time) (alt Alternate, ok bool) {
-	h := hashID(cid, ^t.seed)
-	at := ticks(now)
+	return t.alternate(t.hash(cid), primary, load, ticks(now))
+}
+
+// Choice is what a balancer puts into the header of an Initial packet.
+type Choice struct {
+	Primary      netip.AddrPort
+	Alternate    Alternate
+	HasAlternate bool
+}
+
+// Choose returns the primary and the alternate for cid. ok is false when the
+// service has no agent that takes new flows.
+func (t *Table) Choose(cid []byte, load *Load, now time.Time) (c Choice, ok bool) {
+	h := t.hash(cid)
+	primary := t.primary(h)
+	if primary == None {
+		return Choice{}, false
+	}
+	c.Primary = t.Addr(primary)
+	c.Alternate, c.HasAlternate = t.alternate(h, primary, load, ticks(now))
+	return c, true
+}
+
+func (t *Table) alternate(h uint64, primary int, load *Load, at uint64) (alt Alternate, ok bool) {
+	h = mix(h + alternateSalt)
 	best, bestCost, bestOccupancy := None, 0, Full
 	n := len(t.entries)
 	for k := range min(n, int(t.samples)+1) {
@@ -24,10 +47,7 @@
 			continue
 		}
 		o := load.believed(t.entries[i].addr(), at)
-		cost := int(o)
-		if !t.entries[i].local() {
-			cost += int(t.remote)
-		}
+		cost := int(o) + t.handicap(i)
 		if best == None || cost < bestCost {
 			best, bestCost, bestOccupancy = i, cost, o
 		}
@@ -38,11 +58,39 @@
 	return Alternate{Addr: t.Addr(best), Occupancy: bestOccupancy}, true
 }
 
+// rampShift turns lacking weight into occupancy: an agent that has just begun
+// its cold start counts as three to four requests busier than it is. Without
+// this the ramp would be undone: its idle slots make it the alternate of all.
+const rampShift = 3
+
+// handicap returns what counts against agent i besides its occupancy.
+func (t *Table) handicap(i int) int {
+	e := t.entries[i]
+	cost := int(FullWeight-e.weight()) >> rampShift
+	if !e.local() {
+		cost += int(t.remote)
+	}
+	return cost
+}
+
+// alternateSalt parts the hashes that sample alternates from those that choose
+// the primary.
+const alternateSalt = 0xd6e8feb86659fd93
+
 // sample returns the k-th index of n for flow h: all indices in turn, from a
 // random one on, when the table is small, else a random one.
 func sample(h uint64, k, n, samples int) int {
-	if n <= samples+1 {
-		return (int(h>>33) + k) % n
+	if n > samples+1 {
+		return scale(mix(h+uint64(k)*golden), n)
+	}
+	i := scale(h, n) + k
+	if i >= n {
+		i -= n
 	}
-	return int(mix(h+uint64(k)*golden)>>33) % n
+	return i
+}
+
+// scale maps a hash evenly to 0 to n-1 without a division.
+func scale(h uint64, n int) int {
+	return int((h >> 32) * uint64(n) >> 32)
 }
--- a/placement/decider_test.go
+++ b/placement/decider_test.go
@@ -154,6 +154,26 @@
 	}
 }
 
+// Symptom: a backend server that has just started is flooded. Sequence: its
+// weight keeps primaries away, its idle slots make every balancer name it as
+// the alternate. Cause: an alternate chosen without regard to weights.
+func TestColdAgentIsNotEveryonesAlternate(t *testing.T) {
+	agents := testAgents(3)
+	agents[1].Weight = 51
+	table, l := testTable(t, agents), NewLoad(3, LoadOptions{})
+	l.Report(agents[1].Addr, 0, testStart)
+	l.Report(agents[2].Addr, 20, testStart)
+	for i := range uint64(100) {
+		primary := table.Primary(testID(i))
+		if table.Addr(primary) != agents[0].Addr {
+			continue
+		}
+		if alt, _ := table.Alternate(testID(i), primary, l, testStart); alt.Addr != agents[2].Addr {
+			t.Fatalf("flow %d: the cold agent is the alternate", i)
+		}
+	}
+}
+
 func TestRampRisesToFullInItsSteps(t *testing.T) {
 	r := Ramp{Duration: 10 * time.Second, Steps: 4}
 	last, steps := uint8(0), 0
@@ -178,9 +198,8 @@
 	tables.Set(70000, testTable(t, agents))
 	l, id := NewLoad(1000, LoadOptions{}), testID(1)
 	allocs := testing.AllocsPerRun(100, func() {
-		table := tables.Get(70000)
 		l.Report(agents[7].Addr, 10, testStart)
-		table.Alternate(id, table.Primary(id), l, testStart)
+		tables.Get(70000).Choose(id, l, testStart)
 	})
 	if allocs != 0 {
 		t.Errorf("%v allocations", allocs)
--- a/placement/load.go
+++ b/placement/load.go
@@ -17,6 +17,7 @@
 	words   []atomic.Uint64
 	mask    uint64
 	maxAge  uint64 // ticks
+	perTick int64  // 2^32 / (maxAge + 1), to age a belief without a division
 	unknown Occupancy
 }
 
@@ -57,10 +58,12 @@
 	for size < agents*loadPerAgent {
 		size *= 2
 	}
+	maxAge := uint64(o.MaxAge / loadTick)
 	return &Load{
 		words:   make([]atomic.Uint64, size),
 		mask:    uint64(size - 1),
-		maxAge:  uint64(o.MaxAge / loadTick),
+		maxAge:  maxAge,
+		perTick: int64(1<<32 / (maxAge + 1)),
 		unknown: o.Unknown,
 	}
 }
@@ -86,13 +89,15 @@
 	return o, time.Duration(passed) * loadTick, ok
 }
 
-// believed returns the occupancy to act on.
+// believed returns the occupancy to act on: the last report, which loses its
+// worth in a straight line until it is unknown.
 func (l *Load) believed(packed, now uint64) Occupancy {
 	o, age, ok := l.get(packed, now)
 	if !ok || age > l.maxAge {
 		return l.unknown
 	}
-	return Occupancy(int64(o) + (int64(l.unknown)-int64(o))*int64(age)/int64(l.maxAge+1))
+	drift := (int64(l.unknown) - int64(o)) * int64(age) * l.perTick >> 32
+	return Occupancy(int64(o) + drift)
 }
 
 func (l *Load) get(packed, now uint64) (o Occupancy, age uint64, ok bool) {
--- a/placement/primary.go
+++ b/placement/primary.go
@@ -19,9 +19,11 @@
 // Primary returns the index of the agent that cid and the roster decide, the
 // same on every balancer with the same roster, or None for an empty table.
 func (t *Table) Primary(cid []byte) int {
-	return t.primary(hashID(cid, t.seed))
+	return t.primary(t.hash(cid))
 }
 
+func (t *Table) hash(cid []byte) uint64 { return hashID(cid, t.seed) }
+
 func (t *Table) primary(h uint64) int {
 	n := len(t.entries)
 	switch {
