Placement: a meter smooths the occupancy

A count of five slots changes many times before a report is used. Change: Meter: half the requests of this moment, half their mean over 2 s, in the reports and in the agents' decisions.

--- a/placement/lab/placed.go
+++ b/placement/lab/placed.go
@@ -24,6 +24,7 @@
 	tables   []*placement.Table // per balancer
 	loads    []*placement.Load  // per balancer
 	deciders []*placement.Decider
+	meters   []placement.Meter
 	start    time.Time
 }
 
@@ -50,6 +51,7 @@
 	for b := range p.loads {
 		p.loads[b] = placement.NewLoad(m.c.Agents, p.options.Load)
 	}
+	p.meters = make([]placement.Meter, m.c.Agents)
 	p.deciders = make([]*placement.Decider, m.c.Agents)
 	o := p.options.Decider
 	o.Decisions = 64
@@ -94,10 +96,10 @@
 
 func (p *placed) occupancy(m *model, i int) placement.Occupancy {
 	s := &m.servers[i]
-	return placement.Usage{
+	return p.meters[i].Occupancy(p.start.Add(m.now), placement.Usage{
 		SlotsBusy: s.busy, Slots: m.c.Slots, Queue: len(s.queue),
 		Connections: s.conns, MaxConnections: m.c.MaxConns,
-	}.Occupancy()
+	})
 }
 
 func (p *placed) first(m *model, b int, id uint64) int {
--- a/placement/load.go
+++ b/placement/load.go
@@ -63,7 +63,7 @@
 		words:   make([]atomic.Uint64, size),
 		mask:    uint64(size - 1),
 		maxAge:  maxAge,
-		perTick: int64(1<<32 / (maxAge + 1)),
+		perTick: int64(1 << 32 / (maxAge + 1)),
 		unknown: o.Unknown,
 	}
 }
--- a/placement/occupancy.go
+++ b/placement/occupancy.go
@@ -23,16 +23,21 @@
 	Draining                    bool
 }
 
-// Occupancy returns the usage in one byte. It rises in step with the requests
-// at work and waiting, up to five for each slot, and more finely with the root
-// of the connections: among agents of few connections one more still shows.
-// Draining and no connection left are Full.
+// Occupancy returns the usage of this moment in one byte; an agent reports what
+// a [Meter] makes of it. It rises in step with the requests at work and waiting,
+// up to five for each slot, and more finely with the root of the connections:
+// among agents of few connections one more still shows. Draining and no
+// connection left are Full.
 func (u Usage) Occupancy() Occupancy {
+	return u.occupancy(float64(u.SlotsBusy + u.Queue))
+}
+
+func (u Usage) occupancy(requests float64) Occupancy {
 	if u.Draining || u.Connections >= u.MaxConnections {
 		return Full
 	}
-	requests := float64(u.SlotsBusy+u.Queue) / float64(max(u.Slots, 1))
+	perSlot := requests / float64(max(u.Slots, 1))
 	connections := float64(u.Connections) / float64(u.MaxConnections)
-	level := min(requests*requestScale, requestTop) + math.Sqrt(connections)*connectionScale
+	level := min(perSlot*requestScale, requestTop) + math.Sqrt(connections)*connectionScale
 	return Occupancy(level)
 }
