Membership: six spare transmissions, and pings before a suspicion

Cause: with 20% loss some changes took 17 s to reach the last of 1,024 balancers, and idle traffic grew with n.

Change: each change is transmitted log2 n + 6 times in place of log2 n + 1; a doubt lasts at least 1 s in which the process itself and its other observers are asked every 250 ms; doubts start after 2.5 s in place of 3 s.

--- a/membership/announcer.go
+++ b/membership/announcer.go
@@ -290,6 +290,10 @@
 }
 
 func (a *Announcer) acknowledge(now time.Time, k key, m *Message) {
+	if m.Flags&FlagWant != 0 && !inContacts(a.contacts, k) {
+		a.out = append(a.out, Envelope{k.addrPort(), a.announcement()})
+		return
+	}
 	for i := range a.contacts {
 		c := &a.contacts[i]
 		if c.key != k {
--- a/membership/exchange_test.go
+++ b/membership/exchange_test.go
@@ -250,7 +250,7 @@
 	var all []Record
 	for _, p := range x.procs {
 		if !p.stopped {
-			all = append(all, p.rec)
+			all = append(all, p.self())
 		}
 	}
 	for _, p := range x.procs {
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -16,8 +16,8 @@
 	// repairedLeft transmissions are spent on a record that came by repair:
 	// most others know it already.
 	repairedLeft = 3
-	// minTransmissions of each change, however small the fleet.
-	minTransmissions = 6
+	// spareTransmissions beyond the logarithm of the fleet make up for loss.
+	spareTransmissions = 6
 )
 
 // transmissions is how often each balancer passes on one change. It grows with
@@ -25,7 +25,7 @@
 // each further transmission, and repair fetches the rest.
 func (m *Machine) transmissions() int {
 	n := len(m.roster.liveAll())
-	return max(minTransmissions, bits.Len(uint(n))+1)
+	return bits.Len(uint(n)) + spareTransmissions
 }
 
 // gossipQueue orders changes by urgency, then by fewest transmissions. The
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -10,7 +10,7 @@
 // Timing holds the periods of a Machine. A zero field means its default.
 type Timing struct {
 	Heartbeat     time.Duration // of this balancer to its observers, default DefaultInterval
-	SuspectAfter  time.Duration // silence after which an observer asks the others, default 3 s
+	SuspectAfter  time.Duration // silence after which an observer asks the others, default 2.5 s
 	DeadAfter     time.Duration // from suspect to dead without a refutation, default 8 s
 	AloneAfter    time.Duration // doubt after which one observer decides alone, default 10 s
 	PauseAfter    time.Duration // gap between calls that counts as a pause of our own, default 1 s
@@ -27,7 +27,7 @@
 		}
 	}
 	set(&t.Heartbeat, DefaultInterval)
-	set(&t.SuspectAfter, 3*time.Second)
+	set(&t.SuspectAfter, 2500*time.Millisecond)
 	set(&t.DeadAfter, 8*time.Second)
 	set(&t.AloneAfter, 10*time.Second)
 	set(&t.PauseAfter, time.Second)
--- a/membership/watch.go
+++ b/membership/watch.go
@@ -6,8 +6,12 @@
 )
 
 const (
-	// doubtRetry is the time between two questions to the other observers.
-	doubtRetry = 500 * time.Millisecond
+	// doubtFor is the least time from the first doubt to a suspicion. In it the
+	// process and its other observers are asked every doubtRetry, so that lost
+	// heartbeats alone don't make a suspicion; after it only every slowRetry.
+	doubtFor   = time.Second
+	doubtRetry = 250 * time.Millisecond
+	slowRetry  = time.Second
 	// majority of the observers makes a suspicion.
 	majority = 2
 	// auditSweep is the number of ticks in which the audit passes the whole
@@ -158,18 +162,24 @@
 	if w.doubtFrom.IsZero() {
 		w.doubtFrom = now
 	}
-	if w.agreed+1 >= majority {
+	lasted := now.Sub(w.doubtFrom)
+	if w.agreed+1 >= majority && lasted >= doubtFor {
 		m.suspect(now, w, c)
 		return
 	}
-	if now.Sub(w.doubtFrom) >= time.Duration(w.alone)*m.cfg.Timing.AloneAfter {
+	if lasted >= time.Duration(w.alone)*m.cfg.Timing.AloneAfter {
 		m.decideAlone(now, w, c)
 		return
 	}
-	if now.Sub(w.askedAt) < doubtRetry {
+	retry := doubtRetry
+	if lasted > doubtFor {
+		retry = slowRetry
+	}
+	if now.Sub(w.askedAt) < retry {
 		return
 	}
 	w.askedAt = now
+	m.ping(c)
 	for _, k := range rank.list() {
 		if k != m.selfKey {
 			m.send(k.addrPort(), &Message{
@@ -179,6 +189,11 @@
 	}
 }
 
+// ping asks a process to announce itself at once.
+func (m *Machine) ping(c *cell) {
+	m.send(c.key.addrPort(), &Message{Kind: KindAck, Flags: FlagWant, Incarnation: c.incarnation, Entry: m.entry()})
+}
+
 // decideAlone acts when no other observer has answered for long. If this
 // balancer sits outside the zone of the silent ones, the whole zone may be
 // cut off: that is one fact for all of them.
@@ -215,6 +230,9 @@
 	}
 	w := m.watchFor(now, c.key)
 	silent := now.Sub(w.directAt)
+	if silent >= m.cfg.Timing.SuspectAfter/2 {
+		m.ping(c)
+	}
 	answer := &Message{Kind: KindOpinion, Incarnation: msg.Incarnation, Peers: msg.Peers}
 	switch limit := m.cfg.Timing.SuspectAfter * 2 / 3; {
 	case silent < limit:
