Membership: partitions heal, zones are folded after 2 s, measurements of load

Cause: a property test (schedule of 7 faults, shrunk to a split of two zones for 4 s) left both sides holding the other for dead for ever: nobody spoke to the dead any more. A lost zone was known after 12 s only. One second could carry twice the byte rate.

Change: every 15 s each balancer sends its digest to one balancer out of contact (dead, unknown seed, zone down). A zone is taken for lost after 2 s of doubt by enough witnesses; single records of large zones are no longer judged from outside at all. The byte budget holds half a second's worth.

Tried and reverted: answering a dead process's digest with an ack that asks for a higher version. The property test passes without it, since the repair that follows tells the process as well.

--- a/membership/announcer.go
+++ b/membership/announcer.go
@@ -282,11 +282,11 @@
 	if len(m.Peers) > 0 && a.mayAdopt(now) {
 		a.adopt(now, m.Peers)
 	}
-	a.acknowledge(now, keyOf(from), m)
 	if m.Flags&FlagSuspected != 0 && m.Version >= a.self.Version {
 		a.self.Version = m.Version
 		a.bump(now)
 	}
+	a.acknowledge(now, keyOf(from), m)
 }
 
 func (a *Announcer) acknowledge(now time.Time, k key, m *Message) {
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -13,10 +13,11 @@
 	SuspectAfter  time.Duration // silence after which an observer asks the others, default 2.5 s
 	DeadAfter     time.Duration // from suspect to dead without a refutation, default 8 s
 	AloneAfter    time.Duration // doubt after which one observer decides alone, default 10 s
+	FoldAfter     time.Duration // doubt after which an observer outside the zone takes the zone for lost, default 2 s
 	PauseAfter    time.Duration // gap between calls that counts as a pause of our own, default 1 s
 	IsolatedAfter time.Duration // without any message nobody is judged, default 1.5 s
 	Compare       time.Duration // between comparisons of digests, default 1 s
-	ProbeZone     time.Duration // between messages into zones that are down, default 15 s
+	ProbeLost     time.Duration // between messages to balancers out of contact, default 15 s
 	ForgetAfter   time.Duration // dead records are kept so long, default 24 h
 }
 
@@ -30,10 +31,11 @@
 	set(&t.SuspectAfter, 2500*time.Millisecond)
 	set(&t.DeadAfter, 8*time.Second)
 	set(&t.AloneAfter, 10*time.Second)
+	set(&t.FoldAfter, 2*time.Second)
 	set(&t.PauseAfter, time.Second)
 	set(&t.IsolatedAfter, 1500*time.Millisecond)
 	set(&t.Compare, time.Second)
-	set(&t.ProbeZone, 15*time.Second)
+	set(&t.ProbeLost, 15*time.Second)
 	set(&t.ForgetAfter, 24*time.Hour)
 }
 
@@ -138,7 +140,7 @@
 	}
 	m := &Machine{cfg: cfg, self: self, selfKey: self.selfKey, roster: newRoster(), watchOf: map[key]int{}}
 	m.rng = rand.New(rand.NewPCG(cfg.Seed+1, uint64(m.selfKey)))
-	m.tokens = float64(cfg.Rate)
+	m.tokens = float64(cfg.Rate) / 2
 	m.zone = m.roster.zoneIndex(cfg.Self.Zone, cfg.Self.Region)
 	m.adoptSelf(time.Time{})
 	return m, nil
@@ -174,7 +176,7 @@
 	m.audit(now)
 	m.gossip(now)
 	m.compare(now)
-	m.probeZones(now)
+	m.probeLost(now)
 	m.forgetDead(now)
 }
 
@@ -302,10 +304,11 @@
 	m.out = append(m.out, Envelope{to, msg})
 }
 
-// refill adds to the byte budget, at most one second's worth.
+// refill adds to the byte budget, at most half a second's worth, so that no
+// second has more than one and a half times the rate.
 func (m *Machine) refill(now time.Time) {
 	rate := float64(m.cfg.Rate)
-	m.tokens = min(m.tokens+rate*now.Sub(m.refillAt).Seconds(), rate)
+	m.tokens = min(m.tokens+rate*now.Sub(m.refillAt).Seconds(), rate/2)
 	m.refillAt = now
 }
 
--- a/membership/repair.go
+++ b/membership/repair.go
@@ -41,25 +41,39 @@
 	}
 }
 
-// probeZones sends a digest into a zone that is down, to learn when it is back.
-func (m *Machine) probeZones(now time.Time) {
-	if now.Sub(m.probeAt) < m.cfg.Timing.ProbeZone {
+// probeLost sends a digest to a balancer that is out of contact: in a zone that
+// is down, dead, or a seed that is in no roster. Two sides of a partition that
+// have given each other up would otherwise stay apart after it has healed,
+// each with a roster in which the other is dead.
+func (m *Machine) probeLost(now time.Time) {
+	if now.Sub(m.probeAt) < m.cfg.Timing.ProbeLost {
 		return
 	}
-	m.probeAt = now.Add(-time.Duration(m.rng.Int64N(int64(m.cfg.Timing.ProbeZone) / 4)))
-	var down []int
+	m.probeAt = now.Add(-time.Duration(m.rng.Int64N(int64(m.cfg.Timing.ProbeLost) / 4)))
+	for _, t := range m.pick(nil, m.lost(), 1) {
+		m.sendRoot(t)
+	}
+}
+
+func (m *Machine) lost() []key {
+	var list []key
 	for z := range m.roster.zones {
 		if m.roster.zones[z].down {
-			down = append(down, z)
+			list = append(list, m.roster.live[z]...)
 		}
 	}
-	if len(down) == 0 {
-		return
+	for _, t := range m.dead {
+		c := m.roster.find(t.key)
+		if c != nil && c.verdict == VerdictDead && c.role == RoleBalancer {
+			list = append(list, t.key)
+		}
 	}
-	z := down[m.rng.IntN(len(down))]
-	for _, t := range m.pick(nil, m.roster.live[z], 1) {
-		m.sendRoot(t)
+	for _, a := range m.self.cfg.Seeds {
+		if m.roster.find(keyOf(a)) == nil {
+			list = append(list, keyOf(a))
+		}
 	}
+	return list
 }
 
 func (m *Machine) sendRoot(to netip.AddrPort) {
--- a/membership/watch.go
+++ b/membership/watch.go
@@ -167,8 +167,12 @@
 		m.suspect(now, w, c)
 		return
 	}
-	if lasted >= time.Duration(w.alone)*m.cfg.Timing.AloneAfter {
-		m.decideAlone(now, w, c)
+	if m.foldable(c) && lasted >= m.cfg.Timing.FoldAfter {
+		m.witness(now, c.zone)
+	}
+	if !m.foldable(c) && lasted >= time.Duration(w.alone)*m.cfg.Timing.AloneAfter {
+		w.alone = min(w.alone*2, maxAlone)
+		m.suspect(now, w, c)
 		return
 	}
 	retry := doubtRetry
@@ -194,16 +198,10 @@
 	m.send(c.key.addrPort(), &Message{Kind: KindAck, Flags: FlagWant, Incarnation: c.incarnation, Entry: m.entry()})
 }
 
-// decideAlone acts when no other observer has answered for long. If this
-// balancer sits outside the zone of the silent ones, the whole zone may be
-// cut off: that is one fact for all of them.
-func (m *Machine) decideAlone(now time.Time, w *watch, c *cell) {
-	if c.zone != m.zone && len(m.roster.live[c.zone]) >= foldBalancers {
-		m.witness(now, c.zone)
-		return
-	}
-	w.alone = min(w.alone*2, maxAlone)
-	m.suspect(now, w, c)
+// foldable tells that the silence of c and of its observers is judged as that
+// of its whole zone: this balancer sits outside, and the zone is not small.
+func (m *Machine) foldable(c *cell) bool {
+	return c.zone != m.zone && len(m.roster.live[c.zone]) >= foldBalancers
 }
 
 func (m *Machine) suspect(now time.Time, w *watch, c *cell) {
