--- a/cmd/hemlock-agent/main.go
+++ b/cmd/hemlock-agent/main.go
@@ -17,6 +17,7 @@
 	"github.com/hemlockscale/hemlockscale/internal/daemon"
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
 	"github.com/hemlockscale/hemlockscale/internal/settings"
+	"github.com/hemlockscale/hemlockscale/internal/store"
 )
 
 const program = "hemlock-agent"
@@ -43,7 +44,8 @@
 	s := settings.New(program, "HEMLOCK_AGENT", "serves one service's callers from one backend server")
 	a := &cfg.agent
 	internal := s.String("internal", "", "UDP address for balancers and agents, an IPv4 address of this VM (required)")
-	seeds := s.String("balancers", "", "internal addresses of some balancers, separated by commas (required)")
+	seeds := s.String("balancers", "", "internal addresses of some balancers, separated by commas (this or -store is required)")
+	storeURL := s.String("store", "", "URL of the platform's key-value service, where balancers to turn to are listed")
 	key := s.String("fleet-key", "", "fleet keys NUMBER:HEX, two at most while one is rotated (required, secret; better set in the environment)")
 	backend := s.String("backend", "http://127.0.0.1:8080", "URL of the backend server")
 	cert := s.String("tls-cert", "", "the service's certificate chain, PEM text or a file of it (required)")
@@ -69,7 +71,7 @@
 		func() error { return settings.Required("internal", *internal) },
 		func() error { return settings.Required("service", a.Service) },
 		func() error { return settings.Required("zone", a.Zone) },
-		func() error { return settings.Required("balancers", *seeds) },
+		func() error { return settings.Required("balancers", *seeds+*storeURL) },
 		func() error { return settings.Required("fleet-key", *key) },
 		func() error { return settings.Required("tls-cert", *cert) },
 		func() error { return settings.Required("tls-key", *certKey) },
@@ -77,11 +79,20 @@
 		func() (err error) { a.Seeds, err = settings.AddrPorts("balancers", *seeds); return },
 		func() (err error) { cfg.daemon.Admin, err = settings.AddrPort("admin", *admin); return },
 		func() (err error) { a.Keys, err = fleetkey.Parse(*key); return },
+		func() (err error) { a.Store, err = openStore(*storeURL); return },
 		func() (err error) { a.Backend, err = backendURL(*backend); return },
 		func() (err error) { a.Certificate, err = certificate(*cert, *certKey); return },
 	)
 }
 
+// openStore returns nil for an empty URL.
+func openStore(url string) (store.Interface, error) {
+	if url == "" {
+		return nil, nil
+	}
+	return store.New(store.Config{URL: url})
+}
+
 func backendURL(s string) (*url.URL, error) {
 	u, err := url.Parse(s)
 	if err != nil || u.Scheme != "http" || u.Host == "" || u.Port() == "" {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -29,6 +29,7 @@
 	"github.com/hemlockscale/hemlockscale/idempotency"
 	"github.com/hemlockscale/hemlockscale/internal/control"
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+	"github.com/hemlockscale/hemlockscale/internal/store"
 	"github.com/hemlockscale/hemlockscale/internal/udp"
 	"github.com/hemlockscale/hemlockscale/placement"
 )
@@ -68,6 +69,7 @@
 	Certificate tls.Certificate
 	Keys        fleetkey.Ring
 	Seeds       []netip.AddrPort // balancers to announce to at first
+	Store       store.Interface  // the platform's store, to read contact slots; may be nil if Seeds are given
 	Ramp        placement.Ramp   // cold start of the backend server
 	Repeats     idempotency.Config
 }
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/hemlockscale/hemlockscale/admission"
 	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/internal/contact"
 	"github.com/hemlockscale/hemlockscale/internal/control"
 	"github.com/hemlockscale/hemlockscale/internal/seal"
 	"github.com/hemlockscale/hemlockscale/membership"
@@ -21,6 +22,9 @@
 	// entryRetry is how often the catalogue entry is asked for until it is
 	// known, and again after an ack has told of a newer catalogue.
 	entryRetry = 250 * time.Millisecond
+	// contactSilence is how long all balancers must be silent before contact
+	// slots are read again.
+	contactSilence = 10 * time.Second
 	// healthInterval is how often the backend server is connected to.
 	healthInterval = 500 * time.Millisecond
 	healthTimeout  = 400 * time.Millisecond
@@ -38,23 +42,63 @@
 	rng       *rand.Rand
 	leaves    chan struct{}
 
-	held    *catalogue.Held
-	askedAt time.Time
-	turn    int // of observers
-	health  chan bool
-	readyAt time.Time // when the backend server became reachable; zero while it is not
-	settled bool      // requests with idempotency keys can run here
-	left    bool
+	held     *catalogue.Held
+	slots    *membership.Slots // nil without a store
+	contacts *contact.Caller
+	seeds    []netip.AddrPort // of the settings and the contact slots
+	askedAt  time.Time
+	turn     int // of observers
+	health   chan bool
+	readyAt  time.Time // when the backend server became reachable; zero while it is not
+	settled  bool      // requests with idempotency keys can run here
+	left     bool
 }
 
 func newDuty(a *Agent, link *control.Link) *duty {
-	return &duty{
+	d := &duty{
 		a:      a,
 		link:   link,
 		held:   catalogue.NewHeld(a.cfg.Service),
 		rng:    newRand(),
 		leaves: make(chan struct{}, 1),
 		health: make(chan bool, 1),
+		seeds:  a.cfg.Seeds,
+	}
+	if a.cfg.Store != nil {
+		d.contacts = contact.NewCaller(a.cfg.Store)
+		d.slots = membership.NewSlots(time.Now(), membership.SlotsConfig{Zone: a.cfg.Zone, Self: a.cfg.Internal, Seed: d.rng.Uint64()})
+	}
+	return d
+}
+
+// results is where outcomes of store calls come from; nil without a store.
+func (d *duty) results() <-chan contact.Result {
+	if d.contacts == nil {
+		return nil
+	}
+	return d.contacts.Results
+}
+
+// seekContacts reads contact slots until some balancer is known, and again when
+// all that are known have been silent for contactSilence.
+func (d *duty) seekContacts(ctx context.Context, now time.Time) {
+	if d.slots == nil {
+		return
+	}
+	if d.announcer != nil && now.Sub(d.announcer.LastAck()) > contactSilence {
+		d.slots.Want(now)
+	}
+	if call, ok := d.slots.Next(now); ok {
+		d.contacts.Make(ctx, call)
+	}
+}
+
+// takeContact takes in a contact slot that was read.
+func (d *duty) takeContact(now time.Time, r contact.Result) {
+	d.slots.Done(now, d.contacts.Done(r))
+	d.seeds = append(d.slots.Contacts(), d.a.cfg.Seeds...)
+	if d.announcer != nil {
+		d.announcer.SetSeeds(d.seeds)
 	}
 }
 
@@ -80,7 +124,10 @@
 			d.left = true
 			d.a.claims.leave()
 			d.announceState(time.Now())
+		case r := <-d.results():
+			d.takeContact(time.Now(), r)
 		case now := <-tick.C:
+			d.seekContacts(ctx, now)
 			d.tick(now)
 		case <-ctx.Done():
 			return
@@ -177,10 +224,10 @@
 		}
 	}
 	if !to.IsValid() {
-		if len(d.a.cfg.Seeds) == 0 {
+		if len(d.seeds) == 0 {
 			return
 		}
-		to = d.a.cfg.Seeds[d.rng.IntN(len(d.a.cfg.Seeds))]
+		to = d.seeds[d.rng.IntN(len(d.seeds))]
 	}
 	d.askedAt = now
 	d.link.SendBytes(seal.TopicCatalogue, to, d.held.Request().Encode())
@@ -219,7 +266,7 @@
 			Zone:        cfg.Zone,
 			Region:      cfg.Region,
 		},
-		Seeds: cfg.Seeds,
+		Seeds: d.seeds,
 		Seed:  d.rng.Uint64(),
 	})
 	if err != nil {
--- a/internal/balancer/duty.go
+++ b/internal/balancer/duty.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/internal/contact"
 	"github.com/hemlockscale/hemlockscale/internal/control"
 	"github.com/hemlockscale/hemlockscale/internal/seal"
 	"github.com/hemlockscale/hemlockscale/membership"
@@ -26,7 +27,8 @@
 	replica  *catalogue.Replica
 	follower *catalogue.Follower
 	slots    *membership.Slots
-	calls    *storeCalls
+	follows  *followCalls
+	contacts *contact.Caller
 	rng      *rand.Rand
 	peers    *peerSet
 	placed   map[netip.AddrPort]struct{} // agents that take new flows
@@ -48,7 +50,8 @@
 	d := &duty{
 		b:         b,
 		link:      link,
-		calls:     newStoreCalls(b.cfg.Store),
+		follows:   newFollowCalls(b.cfg.Store),
+		contacts:  contact.NewCaller(b.cfg.Store),
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		placed:    make(map[netip.AddrPort]struct{}),
 		voters:    newVoters(now, b.cfg.Retention),
@@ -98,10 +101,10 @@
 			d.receive(time.Now(), m)
 		case s := <-d.states:
 			d.machine.SetState(time.Now(), s)
-		case r := <-d.calls.followed:
+		case r := <-d.follows.results:
 			d.follower.Done(time.Now(), r)
-		case r := <-d.calls.slotted:
-			d.slots.Done(time.Now(), d.calls.slotDone(r))
+		case r := <-d.contacts.Results:
+			d.slots.Done(time.Now(), d.contacts.Done(r))
 		case q := <-d.questions:
 			d.answerBulk(q)
 		case a := <-d.answers:
@@ -125,10 +128,10 @@
 // balancers, so that the store's calls grow with zones and not with the fleet.
 func (d *duty) callStore(ctx context.Context, now time.Time) {
 	if call, ok := d.slots.Next(now); ok {
-		d.calls.slot(ctx, call)
+		d.contacts.Make(ctx, call)
 	}
 	if _, holds := d.slots.Holds(now); holds {
-		d.calls.follow(ctx, d.follower.Next(now))
+		d.follows.make(ctx, d.follower.Next(now))
 	}
 	if contacts := d.slots.Contacts(); len(contacts) != d.seeded {
 		d.seeded = len(contacts)
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -212,6 +212,19 @@
 
 // StartAgent starts one more agent of a service, with a backend server.
 func (f *Fleet) StartAgent(s Service) *Agent {
+	f.T.Helper()
+	return f.startAgent(s, nil)
+}
+
+// StartAgentBySlots is StartAgent for an agent that knows balancers from the
+// contact slots in the store alone.
+func (f *Fleet) StartAgentBySlots(s Service) *Agent {
+	f.T.Helper()
+	return f.startAgent(s, []string{"HEMLOCK_AGENT_BALANCERS"})
+}
+
+// startAgent starts an agent without the settings named in without.
+func (f *Fleet) startAgent(s Service, without []string) *Agent {
 	f.T.Helper()
 	i := len(f.Agents)
 	slots := s.Limits.Slots
@@ -236,6 +249,7 @@
 	a.env = map[string]string{
 		"HEMLOCK_AGENT_INTERNAL":         a.Internal.String(),
 		"HEMLOCK_AGENT_BALANCERS":        f.seeds(),
+		"HEMLOCK_AGENT_STORE":            f.StoreURL,
 		"HEMLOCK_AGENT_FLEET_KEY":        fleetKey,
 		"HEMLOCK_AGENT_BACKEND":          "http://" + server.Addr(),
 		"HEMLOCK_AGENT_SERVICE":          s.Name,
@@ -248,6 +262,9 @@
 		"HEMLOCK_AGENT_REPEAT_SKEW":      "500ms",
 		"HEMLOCK_AGENT_REPEAT_FRESHNESS": "1s",
 	}
+	for _, name := range without {
+		delete(a.env, name)
+	}
 	a.Process = StartProcess(f.T, fmt.Sprintf("agent-%d-%s", i, s.Name), "hemlock-agent", a.env)
 	f.Agents = append(f.Agents, a)
 	return a
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -60,3 +60,12 @@
 	}
 	wg.Wait()
 }
+
+// TestAgentFindsBalancersBySlots starts an agent that knows no balancer: it
+// reads a contact slot in the platform's store.
+func TestAgentFindsBalancersBySlots(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, kanatpar())
+	f.StartAgentBySlots(fleet.Service{Name: "listing"})
+	f.WaitReady()
+}
