Smaller address table: faster than the map

Cause: at most half full, the table of 33,000 addresses takes 1 MB and misses the cache: 17.3 ns a hit against 14.1 ns of map[[4]byte]uint32 (same run). Change: at most three quarters full (512 KB).

--- a/catalogue/bench_test.go
+++ b/catalogue/bench_test.go
@@ -228,7 +228,7 @@
 // without the digests that an idle exchange of the same length sends, which
 // idle-B/s reports.
 func BenchmarkSpread(b *testing.B) {
-	for _, n := range []int{8, 64, 512, 4096} {
+	for _, n := range []int{8, 64, 512, 4096, 11_000} {
 		for _, loss := range []float64{0, 0.05, 0.2} {
 			b.Run(fmt.Sprintf("n=%d/loss=%v", n, loss), func(b *testing.B) {
 				for range b.N {
--- a/catalogue/catalogue_test.go
+++ b/catalogue/catalogue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"testing"
 )
 
@@ -41,3 +42,26 @@
 		t.Fatal(err)
 	}
 }
+
+func TestTableFindsAllAndNothingElse(t *testing.T) {
+	for n := range 70 {
+		c := New()
+		for i := range n {
+			c.put(Entry{Service: serviceName(i), Number: uint32(i + 1), Addresses: []netip.Addr{nodeAddr(i * 7).Addr()}})
+		}
+		table := c.Table()
+		for i := range 7 * n {
+			want := uint32(0)
+			if i%7 == 0 {
+				want = uint32(i/7 + 1)
+			}
+			if got := table.NumberOf(nodeAddr(i).Addr()); got != want {
+				t.Fatalf("%d of %d: number %d, want %d", i, n, got, want)
+			}
+		}
+	}
+	var none *Table
+	if none.Number([4]byte{1}) != 0 || new(Table).Number([4]byte{1}) != 0 {
+		t.Fatal("an empty table finds something")
+	}
+}
--- a/catalogue/table.go
+++ b/catalogue/table.go
@@ -7,7 +7,7 @@
 )
 
 // Table is an immutable index from service address to service number for the
-// packet path: a hash table with open addressing, at most half full. The zero
+// packet path: a hash table with open addressing, at most three quarters full. The zero
 // value is empty.
 type Table struct {
 	slots []slot
@@ -27,7 +27,7 @@
 // Table builds the index of the state's addresses.
 func (c *Catalogue) Table() *Table {
 	n := len(c.addresses)
-	size := 1 << bits.Len(uint(max(2*n, 2)-1))
+	size := 1 << bits.Len(uint(n+n/3)) // above n, so that a search for a missing address meets a free slot
 	t := &Table{slots: make([]slot, size), shift: uint(32 - bits.TrailingZeros(uint(size))), n: n}
 	for a, number := range c.addresses {
 		t.insert(addrKey(a.As4()), number)
@@ -41,7 +41,7 @@
 // Number returns the service number of an address, 0 if there is none. It
 // does not allocate.
 func (t *Table) Number(addr [4]byte) uint32 {
-	if t == nil || len(t.slots) == 0 {
+	if t == nil || t.n == 0 {
 		return 0
 	}
 	key := addrKey(addr)
