--- a/catalogue/extend.go
+++ b/catalogue/extend.go
@@ -5,10 +5,10 @@
 	"slices"
 )
 
-// extend returns the head after changes. A tail over sizes.tail is first
-// written out as a log page, and logs over sizes.logs are folded into a new
-// base. Pages are written before the head names them: a crash in between
-// leaves pages that nobody reads and nothing else.
+// extend returns the head after changes. A tail over sizes.tail is written
+// out as a log page, and logs over sizes.logs are folded into a new base.
+// Pages are written before the head names them: a crash in between leaves
+// pages that nobody reads and nothing else.
 func (ed *Editor) extend(ctx context.Context, c *Catalogue, h Head, changes []Change) (Head, error) {
 	for _, ch := range changes {
 		if err := c.Apply(ch); err != nil {
@@ -17,29 +17,45 @@
 	}
 	next := h
 	next.Revision, next.Checksum, next.Next = c.revision, c.checksum, c.next
-	next.Tail = append(append([]Change(nil), h.Tail...), changes...)
-	data := encode(next.Tail)
-	if len(data) <= ed.limits().tail {
+	next.Tail = slices.Concat(h.Tail, changes)
+	if len(encode(next.Tail)) <= ed.limits().tail {
 		return next, nil
 	}
-	page, err := writePage(ctx, ed.Store, "log", c, data)
-	if err != nil {
-		return Head{}, err
+	// The newest changes stay in the head, so that its readers need no page,
+	// unless they alone are over the limit.
+	full := h.Tail
+	next.Tail = changes
+	if len(encode(changes)) > ed.limits().tail {
+		full = slices.Concat(h.Tail, changes)
+		next.Tail = nil
+	}
+	if len(full) > 0 {
+		if err := ed.writeLog(ctx, &next, full); err != nil {
+			return Head{}, err
+		}
 	}
-	next.Logs = append(append([]logRef(nil), h.Logs...), logRef{next.Tail[0].Revision, next.Revision, page})
-	next.Tail = nil
 	if next.logBytes() <= ed.limits().logs {
 		return next, nil
 	}
 	return ed.rebase(ctx, c, next)
 }
 
+func (ed *Editor) writeLog(ctx context.Context, next *Head, full []Change) error {
+	data := encode(full)
+	l := logRef{full[0].Revision, full[len(full)-1].Revision, next.Checksum, len(data)}
+	if err := writePage(ctx, ed.Store, l.key(), data); err != nil {
+		return err
+	}
+	next.Logs = append(slices.Clone(next.Logs), l)
+	return nil
+}
+
 // logBytes returns the size of the log pages behind the base.
 func (h Head) logBytes() int {
 	n := 0
 	for _, l := range h.Logs {
 		if l.Last > h.Base.Revision {
-			n += l.Page.Size
+			n += l.Size
 		}
 	}
 	return n
@@ -53,20 +69,14 @@
 	if err != nil {
 		return Head{}, err
 	}
-	for _, key := range h.Garbage {
+	for _, key := range h.garbage() {
 		if err := ed.Store.Delete(ctx, key); err != nil && !isKind(err, KindNotFound) {
 			return Head{}, err
 		}
 	}
-	h.Garbage = nil
-	for _, p := range h.Base.Pages {
-		h.Garbage = append(h.Garbage, p.Key)
-	}
-	for len(h.Logs) > ed.limits().kept {
-		h.Garbage = append(h.Garbage, h.Logs[0].Page.Key)
-		h.Logs = h.Logs[1:]
-	}
-	h.Base = base
+	trim := max(0, len(h.Logs)-ed.limits().kept)
+	h.OldBase, h.OldLogs = h.Base, h.Logs[:trim]
+	h.Base, h.Logs = base, h.Logs[trim:]
 	return h, nil
 }
 
