Membership: half the acks, zones without balancers, gossip beside many reports

A zone whose balancers are gone while its agents live went down and up without end. With 100 agents a balancer, acks took the whole byte budget (-150,000 B) and a joining balancer learned nothing for 10 s.

Change: heartbeats with nothing new get every second ack (an observer is given up after 8 s in place of 4). A zone fact says whether only agents were heard; then its balancers are judged one by one. Reports take at most half the byte budget.

--- a/membership/announcer.go
+++ b/membership/announcer.go
@@ -17,8 +17,9 @@
 // Defaults of an Announcer.
 const (
 	DefaultInterval = time.Second
-	// A balancer that answered none of so many heartbeats is given up.
-	silentIntervals = 4
+	// A balancer that answered none of so many heartbeats is given up. Every
+	// second one is answered.
+	silentIntervals = 8
 	// An unanswered announcement is sent again after this time, since the
 	// state that it carries must be in force within 2 s.
 	announceRetry = 250 * time.Millisecond
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -47,7 +47,7 @@
 	Self   Record           // Role must be RoleBalancer
 	Seeds  []netip.AddrPort // balancers to turn to at the start
 	Seed   uint64           // seeds the choice of peers
-	Rate   int              // bytes a second sent, default DefaultRate; acks and heartbeats always pass
+	Rate   int              // bytes a second sent, default DefaultRate; reports and acks always pass
 	Timing Timing
 	Entry  func() uint64 // value that acks carry to their subjects, may be nil
 }
@@ -106,7 +106,8 @@
 	compareAt  time.Time
 	probeAt    time.Time
 	rankGen    uint64
-	tokens     float64
+	tokens     float64 // bytes that may be sent now
+	reports    float64 // of them for reports and acks
 	auditAt    int
 	hotAt      [groupCount]time.Time
 	bulkFrom   netip.AddrPort
@@ -189,7 +190,7 @@
 	m.stats.ReceivedMessages++
 	m.stats.ReceivedBytes += uint64(wireSize(msg))
 	if c := m.roster.find(keyOf(from)); c != nil {
-		m.reached(now, c.zone)
+		m.reached(now, c)
 	}
 	switch msg.Kind {
 	case KindAnnounce:
@@ -297,18 +298,30 @@
 // send puts one message into the outbox.
 func (m *Machine) send(to netip.AddrPort, msg *Message) {
 	n := wireSize(msg)
-	m.tokens -= float64(n)
+	m.charge(msg.Kind, float64(n))
 	m.stats.SentMessages++
 	m.stats.SentBytes += uint64(n)
 	m.stats.SentByKind[msg.Kind] += uint64(n)
 	m.out = append(m.out, Envelope{to, msg})
 }
 
+// charge takes n bytes from the budget. Reports and their acks are sent in any
+// case, and take at most half of it: where many agents report to a balancer,
+// its gossip would otherwise wait for ever, seen as changes that reach nobody.
+func (m *Machine) charge(kind Kind, n float64) {
+	if kind <= KindAck {
+		n = min(n, max(m.reports, 0))
+		m.reports -= n
+	}
+	m.tokens = max(m.tokens-n, -float64(m.cfg.Rate))
+}
+
 // refill adds to the byte budget, at most half a second's worth, so that no
 // second has more than one and a half times the rate.
 func (m *Machine) refill(now time.Time) {
 	rate := float64(m.cfg.Rate)
 	m.tokens = min(m.tokens+rate*now.Sub(m.refillAt).Seconds(), rate/2)
+	m.reports = min(m.reports+rate/2*now.Sub(m.refillAt).Seconds(), rate/4)
 	m.refillAt = now
 }
 
--- a/membership/report.go
+++ b/membership/report.go
@@ -24,6 +24,14 @@
 	m.acknowledge(now, from, msg.Incarnation, msg)
 }
 
+// quiet tells that the ack of a heartbeat may be left out: it has nothing to
+// say, and the one before was sent. Acks are the largest part of what a
+// balancer sends.
+func (m *Machine) quiet(w *watch, msg *Message, ack *Message) bool {
+	w.skipped = !w.skipped && msg.Kind == KindHeartbeat && ack.Flags == 0 && len(ack.Peers) == 0
+	return w.skipped
+}
+
 // acknowledge answers a process with what is known of it here, and with its
 // observers if it reports to others.
 func (m *Machine) acknowledge(now time.Time, from netip.AddrPort, incarnation uint64, msg *Message) {
@@ -43,6 +51,9 @@
 				ack.Peers = append(ack.Peers, k.addrPort())
 			}
 		}
+		if m.quiet(w, msg, ack) {
+			return
+		}
 	}
 	m.send(from, ack)
 }
--- a/membership/watch.go
+++ b/membership/watch.go
@@ -33,7 +33,8 @@
 	version   uint32    // that the verdict holds for
 	agree     [observers]key
 	agreed    int
-	alone     int // factor of AloneAfter
+	skipped   bool // the last heartbeat got no ack
+	alone     int  // factor of AloneAfter
 	gen       uint64
 	rank      top
 }
@@ -201,7 +202,7 @@
 // foldable tells that the silence of c and of its observers is judged as that
 // of its whole zone: this balancer sits outside, and the zone is not small.
 func (m *Machine) foldable(c *cell) bool {
-	return c.zone != m.zone && len(m.roster.live[c.zone]) >= foldBalancers
+	return c.zone != m.zone && len(m.roster.live[c.zone]) >= foldBalancers && !m.view(c.zone).partial
 }
 
 func (m *Machine) suspect(now time.Time, w *watch, c *cell) {
--- a/membership/zonefact.go
+++ b/membership/zonefact.go
@@ -12,6 +12,8 @@
 // Witnesses, all outside the zone, say that neither the balancer that they
 // observe nor its observers inside the zone answer. The first message that
 // comes straight from the zone raises the epoch to an even one, reachable.
+// If it came from an agent, the zone's balancers may still be gone; they are
+// then judged one by one, because a zone that works isn't lost.
 type ZoneFact struct {
 	_ struct{} `cbor:",toarray"`
 
@@ -19,6 +21,7 @@
 	Zone      string
 	Region    string
 	Epoch     uint32
+	Partial   bool     // agents of the zone were heard, but no balancer since
 	Witnesses []uint64 // packed addresses, at most maxWitnesses
 }
 
@@ -46,6 +49,7 @@
 // zoneView is what this balancer's region holds of one zone.
 type zoneView struct {
 	epoch     uint32
+	partial   bool
 	witnesses []key
 	changedAt time.Time
 	sent      int // gossip transmissions of this content
@@ -82,6 +86,7 @@
 			return
 		}
 		v.epoch++
+		v.partial = false
 		v.witnesses = v.witnesses[:0]
 	}
 	if v.add(m.selfKey) {
@@ -89,15 +94,21 @@
 	}
 }
 
-// reached notes that a message came straight from zone z.
-func (m *Machine) reached(now time.Time, z uint16) {
-	v := m.view(z)
-	if !v.doubted() {
+// reached notes that a message came straight from c.
+func (m *Machine) reached(now time.Time, c *cell) {
+	v := m.view(c.zone)
+	fromAgent := c.role == RoleAgent
+	switch {
+	case v.doubted():
+		v.epoch++
+	case v.partial && !fromAgent:
+		v.epoch += 2
+	default:
 		return
 	}
-	v.epoch++
+	v.partial = fromAgent
 	v.witnesses = v.witnesses[:0]
-	m.viewChanged(now, z)
+	m.viewChanged(now, c.zone)
 }
 
 // mergeFact takes in what another balancer of this region says.
@@ -112,7 +123,7 @@
 	}
 	changed := f.Epoch > v.epoch
 	if changed {
-		v.epoch = f.Epoch
+		v.epoch, v.partial = f.Epoch, f.Partial
 		v.witnesses = v.witnesses[:0]
 	}
 	for _, w := range f.Witnesses {
@@ -150,7 +161,7 @@
 			continue
 		}
 		info := &m.roster.zones[z]
-		f := ZoneFact{Viewer: m.self.self.Region, Zone: info.name, Region: info.region, Epoch: v.epoch}
+		f := ZoneFact{Viewer: m.self.self.Region, Zone: info.name, Region: info.region, Epoch: v.epoch, Partial: v.partial}
 		for _, w := range v.witnesses {
 			f.Witnesses = append(f.Witnesses, uint64(w))
 		}
