--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -96,7 +96,7 @@
 		return nil
 	}
 	room := min(MaxMessage-sizeHead, int(m.tokens)/copies-sizeTypical-sizeOnWire)
-	if room < sizeFixed+2*MaxLabel {
+	if room < maxRecord {
 		m.stats.Held++
 		return nil
 	}
@@ -107,7 +107,7 @@
 		p queuePos
 	}
 	var again []taken
-	for room >= sizeFixed+2*MaxLabel {
+	for room >= maxRecord {
 		k, p, ok := m.queue.take()
 		if !ok {
 			break
--- a/membership/measure_test.go
+++ b/membership/measure_test.go
@@ -191,3 +191,56 @@
 		}
 	}
 }
+
+// TestMeasureBurst prints how long many changes at once take, and many a
+// second, which the byte rate has to hold back.
+func TestMeasureBurst(t *testing.T) {
+	n, burst := 32, 40
+	if *measure {
+		n, burst = 512, 400
+	}
+	for _, every := range []time.Duration{0, 100 * time.Millisecond} {
+		x := newExchange(t, 9)
+		x.delay = geography
+		zones := zonesFor(n)
+		list := x.fleet(n, zones)
+		var agents []*proc
+		for i := range burst {
+			agents = append(agents, x.agent(i, i%zones, addrOf(RoleBalancer, i%zones*n/zones)))
+		}
+		x.acquaint()
+		x.run(15*time.Second, nil)
+		known := map[string]*tally{}
+		x.onChange = func(_ *proc, c *Change) {
+			if k := known[c.Record.Addr.String()]; k != nil && c.Record.State == StateLeaving && c.Record.Verdict == VerdictAlive {
+				k.note(x.now, n)
+			}
+		}
+		start, before := x.now, x.sent(list)
+		for _, a := range agents {
+			known[a.rec.Addr.String()] = &tally{start: x.now}
+			a.announcer.SetState(x.now, StateLeaving)
+			x.flush(a)
+			x.run(every, nil)
+		}
+		done := func() bool {
+			for _, k := range known {
+				if k.n < n {
+					return false
+				}
+			}
+			return true
+		}
+		if !x.run(2*time.Minute, done) {
+			t.Errorf("not all changes are known after 2 minutes")
+		}
+		took := x.now.Sub(start)
+		var all []time.Duration
+		for _, k := range known {
+			all = append(all, k.all)
+		}
+		bytes := (x.sent(list).bytes - before.bytes) / float64(n)
+		t.Logf("n %d, %d changes, one every %v: known to all p50 %v p99 %v max %v; %.0f B/s a balancer, %.0f B a change",
+			n, burst, every, quantile(all, 0.5), quantile(all, 0.99), quantile(all, 1), bytes/took.Seconds(), bytes/float64(burst))
+	}
+}
--- a/membership/message.go
+++ b/membership/message.go
@@ -68,22 +68,47 @@
 	Msg *Message
 }
 
-// Upper bounds of encoded sizes in bytes.
+// Encoded sizes in bytes.
 const (
-	sizeHead    = 48 // all scalar fields of a Message with their keys, lists empty
+	sizeHead    = 60 // upper bound of a Message whose lists are empty
+	sizeTypical = 16 // a Message with the few scalars that its kind uses
 	sizePeer    = 7
 	sizeBucket  = 3
 	sizeWitness = 9
-	sizeFixed   = 46 // a Record without its labels
-	sizeFact    = 24 // a ZoneFact without its labels and witnesses
-	sizeTypical = 16 // a Message with the few scalars that its kind uses
+	sizeFact    = 12 // upper bound of a ZoneFact without its labels and witnesses
 	sizeOnWire  = 60 // seal, UDP and IP headers, counted against the byte rate
+	sizeRecord  = 11 // the parts of a Record that always take the same
+	maxRecord   = 50 + 2*MaxLabel
 )
 
-func (r *Record) size() int { return sizeFixed + len(r.Zone) + len(r.Region) }
+// sizeUint returns the encoded size of v.
+func sizeUint(v uint64) int {
+	switch {
+	case v < 24:
+		return 1
+	case v < 1<<8:
+		return 2
+	case v < 1<<16:
+		return 3
+	case v < 1<<32:
+		return 5
+	}
+	return 9
+}
+
+func sizeText(s string) int { return sizeUint(uint64(len(s))) + len(s) }
+
+// size returns the encoded size of r.
+func (r *Record) size() int {
+	n := sizeRecord + sizeUint(uint64(r.Weight)) + sizeUint(uint64(r.Service))
+	n += sizeUint(r.Incarnation) + sizeUint(uint64(r.Version))
+	n += sizeUint(uint64(r.Bulk)) + sizeUint(uint64(r.Admin))
+	return n + sizeText(r.Zone) + sizeText(r.Region)
+}
 
 func (f *ZoneFact) size() int {
-	return sizeFact + len(f.Zone) + len(f.Viewer) + sizeWitness*len(f.Witnesses)
+	n := sizeFact + sizeText(f.Zone) + sizeText(f.Region) + sizeText(f.Viewer)
+	return n + sizeWitness*len(f.Witnesses)
 }
 
 // size returns an upper bound of the encoded size of m.
