--- a/admission/schedule.go
+++ b/admission/schedule.go
@@ -126,14 +126,14 @@
 	switch out {
 	case OK:
 		c.service[kind(f.long)].add(held)
-		if !f.long {
-			c.lim.observe(now, held, busy)
+		if busy { // a limit that isn't in use says nothing about a higher one
+			c.lim.increase()
 		}
 	case TimedOut:
 		c.service[kind(f.long)].add(held)
-		c.lim.decrease(now, shedDecrease)
+		c.lim.decrease(now, f.started)
 	case Shed, Failed:
-		c.lim.decrease(now, shedDecrease)
+		c.lim.decrease(now, f.started)
 	}
 }
 
