On 503, go on with what the backend server works on

Cause: a backend server that carries 3 of 5 slots answers the fourth request with 503 and a come-back time; the agent then started nothing until that time.

Only if nothing else is at work does the agent pause.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -163,7 +163,7 @@
 		c.flowTime.add(now.Sub(f.started))
 	}
 	if r.Outcome == Shed {
-		c.pause(now, r.RetryAfter)
+		c.shed(now, r.RetryAfter)
 	}
 	c.forget(now, f)
 	c.dispatch(now)
--- a/admission/schedule.go
+++ b/admission/schedule.go
@@ -127,21 +127,27 @@
 	case OK:
 		c.service[kind(f.long)].add(held)
 		if busy { // a limit that isn't in use says nothing about a higher one
-			c.lim.increase()
+			c.lim.increase(now)
 		}
 	case TimedOut:
 		c.service[kind(f.long)].add(held)
 		c.lim.decrease(now, f.started)
-	case Shed, Failed:
+	case Failed:
 		c.lim.decrease(now, f.started)
 	}
 }
 
-// pause starts nothing for d, or for a default.
-func (c *Controller) pause(now time.Time, d time.Duration) {
+// shed takes into account that the backend server refused a request. While
+// it works on others it carries those. If there are none it takes nothing at
+// all, and nothing is started until it said, or for a default.
+func (c *Controller) shed(now time.Time, d time.Duration) {
 	if d <= 0 {
 		d = defaultPause
 	}
+	c.lim.shed(now, c.slots, d)
+	if c.slots > 0 {
+		return
+	}
 	if until := now.Add(min(d, maxPause)); until.After(c.pauseUntil) {
 		c.pauseUntil = until
 	}
