--- a/cmd/hemlock-lab/main.go
+++ b/cmd/hemlock-lab/main.go
@@ -74,6 +74,9 @@
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("HEMLOCK")); err != nil {
 		return s, err
 	}
+	if *remote > uint(placement.Full) || *unknown >= uint(placement.Full) {
+		return s, &SettingError{"remote-penalty and -unknown", "give 0 to 255 and 0 to 254"}
+	}
 	s.options.Table.RemotePenalty = uint8(*remote)
 	s.options.Load.Unknown = placement.Occupancy(*unknown)
 	return s, s.check(fs)
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -103,6 +103,26 @@
 	}
 }
 
+// BenchmarkFleetFirstPacket chooses for another service each time, so that
+// tables and beliefs are rarely in the processor's cache.
+func BenchmarkFleetFirstPacket(b *testing.B) {
+	var tables Tables
+	load := NewLoad(94_000, LoadOptions{})
+	for s, agents := range fleet() {
+		tables.Set(s, testTable(b, agents))
+		for i, a := range agents {
+			load.Report(a.Addr, Occupancy(i%100), testStart)
+		}
+	}
+	id := testID(1)
+	b.ReportAllocs()
+	for i := uint64(0); b.Loop(); i++ {
+		binary.BigEndian.PutUint64(id, i)
+		service := uint32(scale(mix(i), 33_000))
+		tables.Get(service).Choose(id, load, testStart)
+	}
+}
+
 func heap() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
--- a/placement/decider_test.go
+++ b/placement/decider_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 var testStart = time.Unix(1700000000, 0)
@@ -85,6 +87,24 @@
 	}
 }
 
+// Symptom: a backend server that is leaving gets new work. Cause: its agent
+// keeps a flow although another can take it, or the other sends it back.
+func TestFullAgentGetsNoFlowThatAnotherCanTake(t *testing.T) {
+	agents := testAgents(2)
+	rapid.Check(t, func(t *rapid.T) {
+		believed := Occupancy(rapid.IntRange(0, int(Full)-1).Draw(t, "believed"))
+		actual := Occupancy(rapid.IntRange(0, int(Full)).Draw(t, "actual"))
+		id := rapid.SliceOfN(rapid.Byte(), 8, 20).Draw(t, "id")
+		primary, alternate := NewDecider(1, DeciderOptions{}), NewDecider(2, DeciderOptions{})
+		if !primary.Decide(testStart, id, Full, Alternate{agents[1].Addr, believed}, true).HandOn {
+			t.Fatal("the full primary keeps the flow")
+		}
+		if alternate.Decide(testStart, id, actual, Alternate{agents[0].Addr, Full}, true).HandOn {
+			t.Fatal("the flow goes back to the full primary")
+		}
+	})
+}
+
 func TestForgottenDecisionsAreCounted(t *testing.T) {
 	d := NewDecider(1, DeciderOptions{})
 	for i := range uint64(2 * DefaultDecisions) {
--- a/placement/table.go
+++ b/placement/table.go
@@ -79,7 +79,6 @@
 	seed    uint64
 	entries []entry  // ascending by hash, weight never 0
 	index   []uint32 // first entry of each equal part of the ring; nil when small
-	local   []uint32 // indices of the agents in the balancer's zone; nil when none or all are
 	shift   uint8    // hash >> shift is a part of the ring
 	samples uint8
 	remote  uint8 // Config.RemotePenalty
@@ -159,21 +158,9 @@
 	if cfg.Samples == 0 {
 		t.samples = DefaultSamples
 	}
-	locals := 0
 	for _, e := range entries {
 		t.top = max(t.top, e.weight())
 		t.even = t.even && e.weight() == entries[0].weight()
-		if e.local() {
-			locals++
-		}
-	}
-	if locals > 0 && locals < len(entries) {
-		t.local = make([]uint32, 0, locals)
-		for i, e := range entries {
-			if e.local() {
-				t.local = append(t.local, uint32(i))
-			}
-		}
 	}
 	if len(entries) > ringFrom {
 		t.buildIndex()
