--- a/cmd/hemlock-lab/main.go
+++ b/cmd/hemlock-lab/main.go
@@ -54,7 +54,7 @@
 func parse(args []string, usage io.Writer) (settings, error) {
 	var s settings
 	fs := flag.NewFlagSet("hemlock-lab", flag.ContinueOnError)
-	fs.SetOutput(usage)
+	fs.SetOutput(io.Discard)
 	fs.IntVar(&s.agents, "agents", 7, "backend servers of the service")
 	fs.IntVar(&s.balancers, "balancers", 4, "balancers")
 	fs.IntVar(&s.zones, "zones", 4, "availability zones")
@@ -71,7 +71,11 @@
 	fs.DurationVar(&s.options.Load.MaxAge, "max-age", 0, "age from which a report counts as unknown; 0 is the default")
 	remote := fs.Uint("remote-penalty", placement.DefaultRemotePenalty, "occupancy added to alternates in other zones, 0 to 255")
 	unknown := fs.Uint("unknown", 0, "occupancy assumed of an unknown agent, 1 to 254; 0 is the default")
-	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("HEMLOCK")); err != nil {
+	err := ff.Parse(fs, args, ff.WithEnvVarPrefix("HEMLOCK"))
+	if errors.Is(err, flag.ErrHelp) {
+		printUsage(fs, usage)
+	}
+	if err != nil {
 		return s, err
 	}
 	if *remote > uint(placement.Full) || *unknown >= uint(placement.Full) {
@@ -82,6 +86,12 @@
 	return s, s.check(fs)
 }
 
+func printUsage(fs *flag.FlagSet, out io.Writer) {
+	fs.SetOutput(out)
+	fmt.Fprintln(out, "hemlock-lab compares placement policies; each setting is also HEMLOCK_ and its name in capitals.")
+	fs.PrintDefaults()
+}
+
 func (s *settings) check(fs *flag.FlagSet) error {
 	switch {
 	case fs.NArg() > 0:
