Placement: the zone counts as far as the belief is worth something

A report of Full aged into merely busy. Change: the penalty shrinks with the age of the report; Full stays until MaxAge. A case with many balancers in the lab.

--- a/placement/alternate.go
+++ b/placement/alternate.go
@@ -46,8 +46,8 @@
 		if i == primary {
 			continue
 		}
-		o := load.believed(t.entries[i].addr(), at)
-		cost := int(o) + t.handicap(i)
+		o, worth := load.believed(t.entries[i].addr(), at)
+		cost := int(o) + t.handicap(i, worth)
 		if best == None || cost < bestCost {
 			best, bestCost, bestOccupancy = i, cost, o
 		}
@@ -63,12 +63,15 @@
 // this the ramp would be undone: its idle slots make it the alternate of all.
 const rampShift = 3
 
-// handicap returns what counts against agent i besides its occupancy.
-func (t *Table) handicap(i int) int {
+// handicap returns what counts against agent i besides its occupancy. The zone
+// counts as far as the belief is worth something: among agents that nothing is
+// known about, only the balancer's own zone would be named, however few agents
+// it has.
+func (t *Table) handicap(i int, worth int64) int {
 	e := t.entries[i]
 	cost := int(FullWeight-e.weight()) >> rampShift
 	if !e.local() {
-		cost += int(t.remote)
+		cost += int(int64(t.remote) * worth / worthUnit)
 	}
 	return cost
 }
--- a/placement/decider_test.go
+++ b/placement/decider_test.go
@@ -128,6 +128,31 @@
 	}
 }
 
+// Symptom: a draining agent is named as the alternate seconds after it said so.
+// Cause: an aged report of Full that counts as merely busy.
+func TestBeliefAgesToUnknownButFullStays(t *testing.T) {
+	agents := testAgents(2)
+	l := NewLoad(2, LoadOptions{})
+	l.Report(agents[0].Addr, 0, testStart)
+	l.Report(agents[1].Addr, Full, testStart)
+	for _, c := range []struct {
+		age        time.Duration
+		idle, full Occupancy
+	}{
+		{0, 0, Full},
+		{DefaultMaxAge / 2, DefaultUnknown / 2, Full},
+		{DefaultMaxAge + time.Second, DefaultUnknown, DefaultUnknown},
+	} {
+		for i, want := range []Occupancy{c.idle, c.full} {
+			p, _ := pack(agents[i].Addr)
+			got, _ := l.believed(p, ticks(testStart.Add(c.age)))
+			if int(got) < int(want)-1 || got > want {
+				t.Errorf("after %v: %d, want %d", c.age, got, want)
+			}
+		}
+	}
+}
+
 func TestAlternateIsLeastLoadedOther(t *testing.T) {
 	agents := testAgents(5)
 	table := testTable(t, agents)
--- a/placement/lab/cases.go
+++ b/placement/lab/cases.go
@@ -31,6 +31,7 @@
 	add("lying-one", func(c *Case) { c.Lying = 1 })
 	add("rosters-differ", func(c *Case) { c.Differing = 1 })
 	add("few-reports", func(c *Case) { c.ReportEvery = time.Second })
+	add("many-balancers", func(c *Case) { c.Balancers, c.ReportEvery = 200, 10*time.Second })
 	add("zone-fabric", func(c *Case) { c.ZoneFabric = 0.9 })
 	return cases
 }
--- a/placement/load.go
+++ b/placement/load.go
@@ -89,15 +89,24 @@
 	return o, time.Duration(passed) * loadTick, ok
 }
 
-// believed returns the occupancy to act on: the last report, which loses its
-// worth in a straight line until it is unknown.
-func (l *Load) believed(packed, now uint64) Occupancy {
+// worthUnit is the worth of a report that has just come in.
+const worthUnit = 1 << 32
+
+// believed returns the occupancy to act on and the worth of the report behind
+// it, worthUnit to 0. A report loses its worth in a straight line, and the
+// occupancy moves to unknown with it. Full stays: a draining agent that became
+// merely busy in a balancer's eyes would be named again.
+func (l *Load) believed(packed, now uint64) (o Occupancy, worth int64) {
 	o, age, ok := l.get(packed, now)
 	if !ok || age > l.maxAge {
-		return l.unknown
+		return l.unknown, 0
+	}
+	worth = worthUnit - int64(age)*l.perTick
+	if o == Full {
+		return Full, worth
 	}
-	drift := (int64(l.unknown) - int64(o)) * int64(age) * l.perTick >> 32
-	return Occupancy(int64(o) + drift)
+	drift := (int64(o) - int64(l.unknown)) * worth / worthUnit
+	return Occupancy(int64(l.unknown) + drift), worth
 }
 
 func (l *Load) get(packed, now uint64) (o Occupancy, age uint64, ok bool) {
