Flows survive balancers lost, frozen, rolled, cut one way; a zone's gone

Cause: with half of four balancers dead, or one that reaches no caller, open downloads crawled: packets of a path went by whichever balancer it was heard through last, so a way that loses everything cost every path its share and no one could tell which way it was; copies of a silent path rotated over dead balancers too, each loss shrank QUIC's window to two packets, and then every lost acknowledgement doubled the pause. Ruled out: flow control and plain luck: a trace showed rounds of two full packets 0.4, 0.8, 1.7, 3.4 s apart, QUIC's probes, sent by pairs of ways of which half were dead. Not looked at: overflow of rings and kernel buffers. Change: a path stays on one way while that delivers; silence counts against that way once, agent-wide (a share of delivery, against the best living way); a way far below it is left out for 1 s, doubling to 32 s; a way that no path hears while others are heard is dead; a silent path is sent by all its usable ways at once, but one only until the caller has used one of our connection IDs (else a forged address would be sent copies).

--- a/internal/agent/packetconn.go
+++ b/internal/agent/packetconn.go
@@ -183,7 +183,7 @@
 	if !ok {
 		return len(p), nil
 	}
-	var routes [2]route
+	var routes [waysPerPath]route
 	n := c.paths.back(key, time.Now(), &routes)
 	if n == 0 {
 		c.metrics.noWay.Inc()
--- a/internal/agent/paths.go
+++ b/internal/agent/paths.go
@@ -10,22 +10,20 @@
 )
 
 const (
-	// wayMemory is how long a balancer stays a candidate for the way back
-	// after a path was last heard through it.
-	wayMemory = 5 * time.Second
-	// echoTimeout is how long a return datagram may stay unechoed by a
-	// balancer that goes on sending before its way back counts as cut.
-	echoTimeout = 400 * time.Millisecond
-	// probeInterval is how often a cut way is tried again.
-	probeInterval = 500 * time.Millisecond
 	// pathIdle is after how much silence a path is forgotten. It is above
 	// the idle timeout of connections, so no open connection loses its path.
 	pathIdle = 2 * idleTimeout
-	// silenceLimit is how long a path may be silent after something was sent
-	// on it before other ways back are tried. It is above the round trip and
-	// the 25 ms by which QUIC delays acknowledgements; trying other ways too
-	// early costs some reordering only.
-	silenceLimit = 60 * time.Millisecond
+	// silenceLeast and silenceMost bound how long a path may be silent after
+	// something was sent on it before other ways back are tried. The least is
+	// above the 25 ms by which QUIC delays acknowledgements; trying other ways
+	// too early costs copies only.
+	silenceLeast = 60 * time.Millisecond
+	silenceMost  = 600 * time.Millisecond
+	// answerGain is the weight of one observation in a path's answer time.
+	answerGain = 1.0 / 8
+	// settleTime is for how long after a path has changed its way answers may
+	// still be to what it sent by the way before.
+	settleTime = 30 * time.Millisecond
 	// waysPerPath bounds the balancers remembered for one path.
 	waysPerPath = 4
 )
@@ -63,55 +61,6 @@
 	return k, true
 }
 
-// way is the way back through one balancer, shared by all paths.
-//
-// A balancer that still receives from callers but gets nothing from this agent
-// goes on being heard, and the packets sent back through it vanish: long flows
-// stall. It shows as return datagrams whose sequence number never comes back
-// as an echo, so such a way is left out until a probe is echoed.
-type way struct {
-	balancer netip.AddrPort
-	heardAt  time.Time
-	seq      uint32
-	sample   uint32    // sequence number whose echo is awaited
-	sampleAt time.Time // when it was sent; zero if none is awaited
-	cut      bool
-	probedAt time.Time
-}
-
-// heard takes in a datagram from the balancer at now with its echo.
-func (w *way) heard(now time.Time, echo uint32) {
-	if w.sampleAt.IsZero() {
-		return
-	}
-	if int32(echo-w.sample) >= 0 {
-		w.sampleAt = time.Time{}
-		w.cut = false
-		return
-	}
-	if now.Sub(w.sampleAt) > echoTimeout {
-		w.cut = true
-	}
-}
-
-// next numbers a return datagram sent through w at now.
-func (w *way) next(now time.Time) uint32 {
-	w.seq++
-	if w.sampleAt.IsZero() || w.cut {
-		w.sample, w.sampleAt = w.seq, now
-	}
-	return w.seq
-}
-
-// probeDue reports whether a cut way is to be tried again.
-func (w *way) probeDue(now time.Time) bool {
-	if !w.cut || now.Sub(w.probedAt) < probeInterval {
-		return false
-	}
-	w.probedAt = now
-	return true
-}
-
 // candidate is a way that a path was heard through.
 type candidate struct {
 	way   *way
@@ -119,16 +68,29 @@
 }
 
 // path is one caller at one service address.
+//
+// It sends by one way for as long as that delivers. Were each packet sent by
+// another way, a way that loses everything would cost every path its share of
+// packets for as long as it lasts, and no one could tell which way it was.
 type path struct {
 	virtual *net.UDPAddr
 	heard   time.Time
-	sent    time.Time // first send since the path was heard; zero if none
-	turn    uint8     // of the rotation among ways while the path is silent
+	sent    time.Time     // first send since the path was heard; zero if none
+	answer  time.Duration // usual time from a first send until the path is heard
 	ways    [waysPerPath]candidate
+	// validated is set once the caller has used a connection ID that this
+	// agent gave it. Until then its address may be forged, and copies would
+	// have the fleet amplify a stranger's traffic towards it.
+	validated bool
+
+	on        *way // nil while the path looks for one
+	onSince   time.Time
+	countedAt time.Time // when on was last credited with a delivery
 }
 
 // note records that the path was heard through w.
 func (p *path) note(w *way, now time.Time) {
+	p.credit(now)
 	p.heard = now
 	p.sent = time.Time{}
 	oldest := 0
@@ -145,75 +107,85 @@
 	p.ways[oldest] = candidate{way: w, heard: now}
 }
 
-// best returns the way that was heard last among those that are not cut, or
-// the last heard one if all are; probe is a cut way that is due to be tried.
-func (p *path) best(now time.Time) (best, probe *way) {
-	var bestAt, cutAt time.Time
-	var cut *way
-	for i := range p.ways {
-		c := &p.ways[i]
-		if c.way == nil || now.Sub(c.heard) > wayMemory && c.heard != p.heard {
-			continue
-		}
-		if c.way.cut {
-			if cut == nil || c.heard.After(cutAt) {
-				cut, cutAt = c.way, c.heard
-			}
-			continue
-		}
-		if best == nil || c.heard.After(bestAt) {
-			best, bestAt = c.way, c.heard
-		}
+// credit learns from an answer how long answers take, and at most once in a
+// silence limit that the path's way delivers.
+func (p *path) credit(now time.Time) {
+	if p.sent.IsZero() {
+		return
 	}
-	if best == nil {
-		return cut, nil
+	if took := now.Sub(p.sent); took < silenceMost/2 {
+		p.answer += time.Duration(float64(took-p.answer) * answerGain)
 	}
-	if cut != nil && cut.probeDue(now) {
-		probe = cut
+	if p.on == nil || now.Sub(p.onSince) < settleTime || now.Sub(p.countedAt) < silenceLeast {
+		return
 	}
-	return best, probe
+	p.countedAt = now
+	p.on.delivered()
 }
 
 // silent reports whether nothing was heard since something was sent a while
-// ago. Packets sent by the last way may all be lost then: a balancer that died
-// stays the one last heard, because a caller that receives nothing has nothing
-// to acknowledge and so is never heard through another.
+// ago. Packets sent by the path's way may all be lost then: a caller that
+// receives nothing has nothing to acknowledge, and so is never heard.
 func (p *path) silent(now time.Time) bool {
 	if p.sent.IsZero() {
 		p.sent = now
 		return false
 	}
-	return now.Sub(p.sent) > silenceLimit
+	limit := min(max(2*p.answer+silenceLeast/2, silenceLeast), silenceMost)
+	return now.Sub(p.sent) > limit
 }
 
-// rotate returns two ways, others on each call, for a path that is silent.
-func (p *path) rotate() (first, second *way) {
-	var known [waysPerPath]*way
-	n := 0
+// last returns the way that the path was heard through last, of those that are
+// at least as good as least; nil if there is none.
+func (p *path) last(least grade, now, newest time.Time) *way {
+	var best *candidate
 	for i := range p.ways {
-		if w := p.ways[i].way; w != nil {
-			known[n] = w
-			n++
+		c := &p.ways[i]
+		if c.way == nil || c.way.grade(now, newest) < least {
+			continue
+		}
+		if best == nil || c.heard.After(best.heard) {
+			best = c
 		}
 	}
-	if n == 0 {
-		return nil, nil
+	if best == nil {
+		return nil
 	}
-	p.turn++
-	first = known[int(p.turn)%n]
-	if n > 1 {
-		second = known[int(p.turn+1)%n]
+	return best.way
+}
+
+// probe returns a cut way that is due to be tried again, nil if there is none.
+func (p *path) probe(now time.Time) *way {
+	for i := range p.ways {
+		if w := p.ways[i].way; w != nil && w != p.on && w.probeDue(now) {
+			return w
+		}
+	}
+	return nil
+}
+
+// known fills out with the path's ways that are at least as good as least.
+func (p *path) known(out *[waysPerPath]*way, least grade, now, newest time.Time) (n int) {
+	clear(out[:])
+	for i := range p.ways {
+		w := p.ways[i].way
+		if w != nil && w.grade(now, newest) >= least {
+			out[n] = w
+			n++
+		}
 	}
-	return first, second
+	return n
 }
 
 // paths is the table of all paths and ways of an agent. Paths are bounded by
 // the idle sweep; ways by the number of balancers.
 type paths struct {
-	mu    sync.Mutex
-	byKey map[pathKey]*path
-	ways  map[netip.AddrPort]*way
-	swept time.Time
+	mu     sync.Mutex
+	byKey  map[pathKey]*path
+	ways   map[netip.AddrPort]*way
+	newest time.Time // when any way was heard last
+	swept  time.Time
+	turn   int // of unvalidated paths among their ways
 }
 
 func newPaths() *paths {
@@ -228,10 +200,10 @@
 	t.sweep(now)
 	w := t.ways[h.Via]
 	if w == nil {
-		w = &way{balancer: h.Via}
+		w = newWay(h.Via)
 		t.ways[h.Via] = w
 	}
-	w.heardAt = now
+	w.heardAt, t.newest = now, now
 	// The echo on a handed-on packet is the one of the agent that handed it on.
 	if h.Flags&frame.FlagHandedOn == 0 {
 		w.heard(now, h.Echo)
@@ -243,6 +215,7 @@
 		t.byKey[key] = p
 	}
 	p.note(w, now)
+	p.validated = p.validated || h.Flags&frame.FlagFirst == 0
 	return p.virtual
 }
 
@@ -270,25 +243,100 @@
 	seq      uint32
 }
 
-// back returns where a packet for a path goes: one way, and a second for a copy
-// when the path is silent or a cut way is to be probed. QUIC discards the copy
-// if both arrive.
-func (t *paths) back(key pathKey, now time.Time, out *[2]route) (n int) {
+// back fills out with where a packet for a path goes: one way, and more for
+// copies when the path is silent or a cut way is to be probed. QUIC discards
+// the copies that arrive.
+func (t *paths) back(key pathKey, now time.Time, out *[waysPerPath]route) (n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.byKey[key]
 	if p == nil {
 		return 0
 	}
-	first, second := p.best(now)
+	var ways [waysPerPath]*way
+	n = t.pick(p, now, &ways)
+	for i, w := range ways[:n] {
+		out[i] = route{balancer: w.balancer, seq: w.next(now)}
+	}
+	return n
+}
+
+func (t *paths) pick(p *path, now time.Time, out *[waysPerPath]*way) (n int) {
 	if p.silent(now) {
-		first, second = p.rotate()
+		if p.on != nil {
+			p.on.failed(now, t.bestDelivery(now))
+			p.on = nil // a path counts against its way once, however long it stays silent
+		}
+		return t.search(p, now, out)
+	}
+	if p.on == nil || p.on.grade(now, t.newest) < usable {
+		t.choose(p, now)
+	}
+	out[0] = p.on
+	if out[1] = p.probe(now); out[1] != nil {
+		return 2
 	}
-	for _, w := range [2]*way{first, second} {
-		if w != nil {
-			out[n] = route{balancer: w.balancer, seq: w.next(now)}
+	return 1
+}
+
+// choose puts a path on the usable way that it was heard through last, or on
+// any usable one: the fabric hands a caller's packets to any balancer, so any
+// balancer reaches the caller. If none is usable it is the one heard last.
+func (t *paths) choose(p *path, now time.Time) {
+	w := p.last(usable, now, t.newest)
+	if w == nil {
+		w = t.other(now, nil)
+	}
+	for least := alive; w == nil; least-- {
+		w = p.last(least, now, t.newest)
+	}
+	if p.on != w {
+		p.on, p.onSince = w, now
+	}
+}
+
+// search fills out with ways for a path that is silent: all those that may
+// deliver. Dead ways are left out while there are others. Were a packet lost
+// once more, QUIC would take it for congestion, shrink its window to two
+// packets, and then each lost acknowledgement would double the pause.
+func (t *paths) search(p *path, now time.Time, out *[waysPerPath]*way) (n int) {
+	n = p.known(out, usable, now, t.newest)
+	if n < 2 {
+		// A caller that never got an answer was heard by few balancers.
+		if w := t.other(now, out[0]); w != nil {
+			out[n] = w
 			n++
 		}
 	}
+	for least := alive; n == 0; least-- {
+		n = p.known(out, least, now, t.newest)
+	}
+	if !p.validated && n > 1 {
+		out[0] = out[t.turn%n]
+		t.turn++
+		return 1
+	}
 	return n
 }
+
+// other returns some usable way besides w, nil if there is none.
+func (t *paths) other(now time.Time, w *way) *way {
+	for _, o := range t.ways {
+		if o != w && o.grade(now, t.newest) == usable {
+			return o
+		}
+	}
+	return nil
+}
+
+// bestDelivery returns the delivery of the best way that is alive. That of a
+// dead one stays what it was, and no living way should be measured by it.
+func (t *paths) bestDelivery(now time.Time) float64 {
+	best := 0.0
+	for _, w := range t.ways {
+		if w.grade(now, t.newest) >= alive {
+			best = max(best, w.delivery)
+		}
+	}
+	return best
+}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -73,6 +73,9 @@
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
+// Name returns the name that the server tells callers.
+func (s *Server) Name() string { return s.cfg.Name }
+
 // Close ends the server and its connections.
 func (s *Server) Close() { s.http.Close() }
 
@@ -196,7 +199,31 @@
 func (s *Server) download(w http.ResponseWriter, r *http.Request) {
 	size, seed := number(r, "bytes"), number(r, "seed")
 	w.Header().Set("Content-Length", strconv.FormatUint(size, 10))
-	io.CopyN(w, content.New(s.cfg.Service, seed), int64(size))
+	body := content.New(s.cfg.Service, seed)
+	if rate := number(r, "rate"); rate > 0 {
+		paced(w, r, body, size, rate)
+		return
+	}
+	io.CopyN(w, body, int64(size))
+}
+
+// paced sends size bytes of body at rate bytes per second.
+func paced(w http.ResponseWriter, r *http.Request, body io.Reader, size, rate uint64) {
+	const interval = 20 * time.Millisecond
+	part := max(rate*uint64(interval)/uint64(time.Second), 1)
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for sent := uint64(0); sent < size; sent += part {
+		io.CopyN(w, body, int64(min(part, size-sent)))
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-r.Context().Done():
+			return
+		}
+	}
 }
 
 func number(r *http.Request, name string) uint64 {
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -170,7 +170,13 @@
 // Download fetches size bytes and checks each. progress, if not nil, is told
 // the bytes received so far.
 func (c *Caller) Download(ctx context.Context, size, seed uint64, progress func(uint64)) (server string, err error) {
-	resp, err := c.open(ctx, http.MethodGet, fmt.Sprintf("/download?bytes=%d&seed=%d", size, seed), nil, nil)
+	return c.DownloadAt(ctx, size, 0, seed, progress)
+}
+
+// DownloadAt is Download from a backend server that sends rate bytes per
+// second; 0 is as fast as it can.
+func (c *Caller) DownloadAt(ctx context.Context, size, rate, seed uint64, progress func(uint64)) (server string, err error) {
+	resp, err := c.open(ctx, http.MethodGet, fmt.Sprintf("/download?bytes=%d&rate=%d&seed=%d", size, rate, seed), nil, nil)
 	if err != nil {
 		return "", err
 	}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -76,18 +76,26 @@
 	cfg       Config
 	net       byte
 	authority *pki.Authority
+	fleetKey  string // of processes started from now on
 }
 
 const (
 	internalPort = 7700
 	adminPort    = 7701
-	fleetKey     = "1:000102030405060708090a0b0c0d0e0f"
+	// FleetKey is the fleet key that a fleet starts with.
+	FleetKey = "1:000102030405060708090a0b0c0d0e0f"
+	// atOnce bounds the fleets of one test run that run at a time, so that
+	// parallel tests do not starve each other of processor time.
+	atOnce = 4
 	// Limit bounds every wait on a condition. It is far above what a sound
 	// fleet takes on a busy machine.
 	Limit = 30 * time.Second
 )
 
-var nets atomic.Uint32
+var (
+	nets    atomic.Uint32
+	running = make(chan struct{}, atOnce)
+)
 
 // Start starts a fleet and waits until every service is served.
 func Start(t testing.TB, cfg Config) *Fleet {
@@ -95,7 +103,9 @@
 	if len(cfg.Zones) == 0 {
 		cfg.Zones = []string{"zone-a"}
 	}
-	f := &Fleet{T: t, cfg: cfg, Addresses: make(map[string]netip.Addr)}
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
+	f := &Fleet{T: t, cfg: cfg, Addresses: make(map[string]netip.Addr), fleetKey: FleetKey}
 	// Each fleet has loopback addresses of its own: 127.net.x.y.
 	f.net = byte(10 + (uint32(os.Getpid())+nets.Add(1))%200)
 	f.startStore()
@@ -147,12 +157,8 @@
 }
 
 func (f *Fleet) startFabric() {
-	var ports []uint16
-	for _, b := range f.Balancers {
-		ports = append(ports, b.Port)
-	}
 	var err error
-	f.Fabric, err = fabric.Start(fabric.Config{Listen: netip.MustParseAddrPort("0.0.0.0:0"), Balancers: ports, Seed: f.cfg.Seed})
+	f.Fabric, err = fabric.Start(fabric.Config{Listen: netip.MustParseAddrPort("0.0.0.0:0"), Balancers: f.Ports(), Seed: f.cfg.Seed})
 	if err != nil {
 		f.T.Fatal(err)
 	}
@@ -187,7 +193,7 @@
 		"HEMLOCK_BALANCER_INTERNAL":  b.Internal.String(),
 		"HEMLOCK_BALANCER_SEEDS":     f.seeds(),
 		"HEMLOCK_BALANCER_STORE":     f.StoreURL,
-		"HEMLOCK_BALANCER_FLEET_KEY": fleetKey,
+		"HEMLOCK_BALANCER_FLEET_KEY": f.fleetKey,
 		"HEMLOCK_BALANCER_ZONE":      f.cfg.Zones[i%len(f.cfg.Zones)],
 		"HEMLOCK_BALANCER_ADMIN":     b.Admin,
 	}
@@ -200,6 +206,9 @@
 	return b
 }
 
+// SetFleetKey sets the fleet keys of processes that are started from now on.
+func (f *Fleet) SetFleetKey(keys string) { f.fleetKey = keys }
+
 // StartAgent starts one more agent of a service, with a backend server.
 func (f *Fleet) StartAgent(s Service) *Agent {
 	f.T.Helper()
@@ -226,7 +235,7 @@
 	a.env = map[string]string{
 		"HEMLOCK_AGENT_INTERNAL":  a.Internal.String(),
 		"HEMLOCK_AGENT_BALANCERS": f.seeds(),
-		"HEMLOCK_AGENT_FLEET_KEY": fleetKey,
+		"HEMLOCK_AGENT_FLEET_KEY": f.fleetKey,
 		"HEMLOCK_AGENT_BACKEND":   "http://" + server.Addr(),
 		"HEMLOCK_AGENT_SERVICE":   s.Name,
 		"HEMLOCK_AGENT_ZONE":      f.cfg.Zones[i%len(f.cfg.Zones)],
--- a/test/survive_test.go
+++ b/test/survive_test.go
@@ -2,68 +2,196 @@
 
 import (
 	"context"
-	"sync"
-	"sync/atomic"
+	"fmt"
 	"testing"
 	"time"
 
-	"github.com/hemlockscale/hemlockscale/internal/standin/caller"
+	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/internal/standin/fabric"
 	"github.com/hemlockscale/hemlockscale/test/fleet"
 )
 
-// flows are open feeds and downloads whose every byte is checked.
-type flows struct {
-	wg       sync.WaitGroup
-	progress atomic.Int64 // feeds and downloads that have received something
+const flowsOfEach = 4
+
+// TestFlowsSurviveBalancerKill: symptom: an open download stalls and breaks
+// after a balancer dies. Sequence: the agent last heard a caller through a
+// balancer; the balancer is killed; everything that the agent sends is lost;
+// the caller, receiving nothing, has nothing to acknowledge, so the agent never
+// hears it through another balancer. Cause: the way back followed the last
+// packet heard, without any sign that packets still come through.
+func TestFlowsSurviveBalancerKill(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, kanatpar())
+	l := openFlows(t, f, flowsOfEach, 4*time.Second)
+	f.Balancers[1].Kill()
+	l.wait()
 }
 
-const (
-	feedEvents    = 300
-	feedInterval  = 10 * time.Millisecond
-	downloadBytes = 24 << 20
-)
+// TestFlowsSurviveBalancerFreeze: symptom: flows stall, or a burst of old
+// packets confuses them. Sequence: a balancer stops running for ten seconds
+// while its sockets fill up, then runs on and forwards all of it late. Cause: a
+// frozen balancer is neither dead nor alive; its kernel still takes packets.
+func TestFlowsSurviveBalancerFreeze(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, kanatpar())
+	l := openFlows(t, f, flowsOfEach, 13*time.Second)
+	f.Balancers[1].Freeze()
+	pause(10 * time.Second)
+	f.Balancers[1].Resume()
+	l.wait()
+}
 
-// openFlows starts feeds of listing and downloads of records, n of each, and
-// returns once all of them are under way.
-func openFlows(t *testing.T, f *fleet.Fleet, n int) *flows {
+// TestFlowsSurviveBalancerReplaced: symptom: flows break when a balancer is
+// replaced. Sequence: SIGTERM, its linger, its end, a new process at the same
+// address, while the fabric goes on handing it packets all the time.
+func TestFlowsSurviveBalancerReplaced(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, kanatpar())
+	l := openFlows(t, f, flowsOfEach, 6*time.Second)
+	replaceBalancer(t, f, 1)
+	l.wait()
+}
+
+// TestFlowsSurviveBalancersRolled replaces every balancer in turn: at the end
+// no process is left that forwarded when the flows began.
+func TestFlowsSurviveBalancersRolled(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, kanatpar())
+	l := openFlows(t, f, flowsOfEach, 14*time.Second)
+	for i := range f.Balancers {
+		replaceBalancer(t, f, i)
+	}
+	l.wait()
+}
+
+func replaceBalancer(t *testing.T, f *fleet.Fleet, i int) {
 	t.Helper()
-	l := &flows{}
-	for i := range n {
-		l.run(t, f.Caller("listing"), func(ctx context.Context, c *caller.Caller, begun func()) error {
-			_, err := c.Feed(ctx, feedEvents, feedInterval, uint64(i), func(int) { begun() })
-			return err
-		})
-		l.run(t, f.Caller("records"), func(ctx context.Context, c *caller.Caller, begun func()) error {
-			_, err := c.Download(ctx, downloadBytes, uint64(i), func(uint64) { begun() })
-			return err
-		})
+	f.Balancers[i].Terminate()
+	if err := f.Balancers[i].Wait(fleet.Limit); err != nil {
+		t.Errorf("%s: %v", f.Balancers[i].Name, err)
 	}
-	fleet.Eventually(t, "all flows under way", func() bool { return l.progress.Load() == int64(2*n) })
-	return l
+	f.StartBalancer(i)
+	f.WaitReady()
 }
 
-func (l *flows) run(t *testing.T, c *caller.Caller, flow func(context.Context, *caller.Caller, func()) error) {
-	var once sync.Once
-	l.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 2*fleet.Limit)
-		defer cancel()
-		start := time.Now()
-		if err := flow(ctx, c, func() { once.Do(func() { l.progress.Add(1) }) }); err != nil {
-			t.Errorf("after %v: %v", time.Since(start), err)
-		}
-		t.Log("flow took", time.Since(start))
-	})
+// TestFlowsSurviveBalancerAdded grows the fabric's set of balancers by one
+// that has never heard of the open flows.
+func TestFlowsSurviveBalancerAdded(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, kanatpar())
+	l := openFlows(t, f, flowsOfEach, 4*time.Second)
+	f.StartBalancer(len(f.Balancers))
+	f.WaitReady()
+	f.Fabric.SetBalancers(f.Ports())
+	l.wait()
 }
 
-// TestFlowsSurviveBalancerKill: symptom: an open download stalls and breaks
-// after a balancer dies. Sequence: the agent last heard a caller through a
-// balancer; the balancer is killed; everything that the agent sends is lost;
-// the caller, receiving nothing, has nothing to acknowledge, so the agent never
-// hears it through another balancer. Cause: the way back followed the last
-// packet heard, without any sign that packets still come through.
-func TestFlowsSurviveBalancerKill(t *testing.T) {
+// TestFlowsSurviveAgentDrain: symptom: a planned stop of the agent cuts the
+// flows that it holds. Sequence: SIGTERM to one agent of each service while
+// feeds and downloads are open; each flow runs to its end; then the processes
+// end by themselves.
+func TestFlowsSurviveAgentDrain(t *testing.T) {
+	t.Parallel()
 	f := fleet.Start(t, kanatpar())
-	l := openFlows(t, f, 8)
+	l := openFlows(t, f, flowsOfEach, 4*time.Second)
+	leaving := []*fleet.Agent{f.Agents[0], f.Agents[2]}
+	for _, a := range leaving {
+		a.Terminate()
+	}
+	l.wait()
+	for _, a := range leaving {
+		if err := a.Wait(fleet.Limit); err != nil {
+			t.Errorf("%s: %v", a.Name, err)
+		}
+	}
+}
+
+// TestFlowsSurviveOneWayCut: symptom: long flows crawl or break. Sequence: a
+// balancer goes on receiving, but nothing that it sends reaches callers, or the
+// other way round; after five seconds the cut heals. Cause: to the agent such a
+// balancer looks alive, it is heard and it even echoes.
+func TestFlowsSurviveOneWayCut(t *testing.T) {
+	t.Parallel()
+	cuts := map[string]func(port uint16) fabric.Faults{
+		"from balancer": func(port uint16) fabric.Faults { return fabric.Faults{CutFrom: []uint16{port}} },
+		"to balancer":   func(port uint16) fabric.Faults { return fabric.Faults{CutTo: []uint16{port}} },
+	}
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := fleet.Start(t, kanatpar())
+			l := openFlows(t, f, flowsOfEach, 7*time.Second)
+			f.Fabric.SetFaults(cut(f.Balancers[1].Port))
+			pause(5 * time.Second)
+			f.Fabric.SetFaults(fabric.Faults{})
+			l.wait()
+		})
+	}
+}
+
+// TestFlowsSurviveZoneLoss: symptom: flows break when an availability zone
+// goes. Sequence: two of four balancers, all those of one zone, are killed at
+// the same moment; the agents of the flows run in the other zone; the fabric
+// goes on handing half of all packets to the dead.
+func TestFlowsSurviveZoneLoss(t *testing.T) {
+	t.Parallel()
+	cfg := kanatpar()
+	cfg.Balancers = 4
+	cfg.Zones = []string{"zone-a", "zone-b"}
+	f := fleet.Start(t, cfg)
+	l := openFlows(t, f, flowsOfEach, 5*time.Second)
 	f.Balancers[1].Kill()
-	l.wg.Wait()
+	f.Balancers[3].Kill()
+	l.wait()
+}
+
+// TestFlowsSurviveCatalogueEdits changes limits and adds an address while
+// flows are open.
+func TestFlowsSurviveCatalogueEdits(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, kanatpar())
+	l := openFlows(t, f, flowsOfEach, 4*time.Second)
+	for n, name := range []string{"listing", "records"} {
+		e := f.Entry(name)
+		e.Limits.Connections = 100 + n
+		e.Addresses = append(e.Addresses, f.SpareAddress(n))
+		f.WaitRevision(f.Apply(catalogue.Edit{Editor: "test", Put: []catalogue.Entry{e}}))
+	}
+	l.wait()
+}
+
+// TestFlowsSurviveKeyRotation rotates the fleet key under open flows: balancers
+// learn the new key, new agents use it first, the old agents drain, balancers
+// use it first. The flows' connection IDs stay under the old key to their end.
+func TestFlowsSurviveKeyRotation(t *testing.T) {
+	t.Parallel()
+	const second = "2:101112131415161718191a1b1c1d1e1f"
+	f := fleet.Start(t, kanatpar())
+	l := openFlows(t, f, flowsOfEach, 14*time.Second)
+	f.SetFleetKey(fleet.FleetKey + "," + second)
+	for i := range f.Balancers {
+		replaceBalancer(t, f, i)
+	}
+	f.SetFleetKey(second + "," + fleet.FleetKey)
+	f.StartAgent(kanatpar().Services[0])
+	f.StartAgent(kanatpar().Services[1])
+	f.WaitReady()
+	for _, a := range f.Agents[:4] {
+		a.Terminate()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), fleet.Limit)
+	defer cancel()
+	fresh := f.Agents[4].Backend
+	fleet.Eventually(t, "a new caller is served under the new key", func() bool {
+		c := f.Caller("listing")
+		defer c.Close()
+		a, err := c.Card(ctx, "rotated")
+		return err == nil && a.Status == 200 && a.Server == fresh.Name()
+	})
+	l.wait()
+	for _, a := range f.Agents[:4] {
+		if err := a.Wait(fleet.Limit); err != nil {
+			t.Errorf("%s: %v", a.Name, fmt.Errorf("after drain: %w", err))
+		}
+	}
 }
