--- a/placement/decider_test.go
+++ b/placement/decider_test.go
@@ -37,7 +37,7 @@
 	agents := testAgents(2)
 	d := NewDecider(1, DeciderOptions{})
 	first := d.Decide(testStart, testID(1), 200, Alternate{agents[0].Addr, 0}, true)
-	second := d.Decide(testStart.Add(time.Second), testID(1), 0, Alternate{agents[1].Addr, 0}, true)
+	second := d.Decide(testStart.Add(repeatAfter/2), testID(1), 0, Alternate{agents[1].Addr, 0}, true)
 	if !first.HandOn || second != first {
 		t.Errorf("first %v, second %v", first, second)
 	}
@@ -47,6 +47,44 @@
 	}
 }
 
+// Symptom: callers wait for seconds after a backend server died, although their
+// primary is well. Sequence: the primary hands the flow on to the dead agent,
+// the caller repeats its Initial, the primary follows its decision. Cause: a
+// remembered decision that no missing answer ends.
+func TestRepeatedInitialStaysAtPrimary(t *testing.T) {
+	d := NewDecider(1, DeciderOptions{})
+	dead := Alternate{testAgents(1)[0].Addr, 0}
+	d.Decide(testStart, testID(1), 200, dead, true)
+	for _, after := range []time.Duration{time.Second, 2 * time.Second} {
+		if got := d.Decide(testStart.Add(after), testID(1), 200, dead, true); got.HandOn {
+			t.Errorf("the repeat after %v follows", after)
+		}
+	}
+	if d.Unanswered != 1 {
+		t.Errorf("unanswered: %d", d.Unanswered)
+	}
+}
+
+// Symptom: an Initial goes round between two agents. Sequence: the alternate is
+// busier than believed and sends the flow back, the next Initial packet reaches
+// the primary. Cause: a primary that doesn't remember that the flow came back.
+func TestReturnedFlowStays(t *testing.T) {
+	agents := testAgents(2)
+	primary, alternate := NewDecider(1, DeciderOptions{}), NewDecider(2, DeciderOptions{})
+	id := testID(1)
+	if !primary.Decide(testStart, id, 100, Alternate{agents[1].Addr, 10}, true).HandOn {
+		t.Fatal("the primary keeps")
+	}
+	back := alternate.Decide(testStart, id, 200, Alternate{agents[0].Addr, 100}, true)
+	if !back.HandOn || back.To != agents[0].Addr {
+		t.Fatalf("the busier alternate decided %v", back)
+	}
+	primary.Keep(testStart, id)
+	if got := primary.Decide(testStart, id, 200, Alternate{agents[1].Addr, 0}, true); got.HandOn {
+		t.Errorf("the returned flow leaves again: %v", got)
+	}
+}
+
 func TestForgottenDecisionsAreCounted(t *testing.T) {
 	d := NewDecider(1, DeciderOptions{})
 	for i := range uint64(2 * DefaultDecisions) {
@@ -91,6 +129,51 @@
 	}
 }
 
+func TestAlternatePrefersOwnZoneWithinPenalty(t *testing.T) {
+	agents := testAgents(3)
+	cfg := Config{Zone: agents[1].Zone, RemotePenalty: DefaultRemotePenalty}
+	table, err := NewTable(cfg, agents)
+	if err != nil {
+		t.Fatal(err)
+	}
+	primary := 0
+	for table.Addr(primary) != agents[0].Addr {
+		primary++
+	}
+	for _, c := range []struct {
+		own  Occupancy
+		want int
+	}{{50 + DefaultRemotePenalty - 1, 1}, {50 + DefaultRemotePenalty + 1, 2}} {
+		l := NewLoad(3, LoadOptions{})
+		l.Report(agents[1].Addr, c.own, testStart)
+		l.Report(agents[2].Addr, 50, testStart)
+		alt, _ := table.Alternate(testID(1), primary, l, testStart)
+		if alt.Addr != agents[c.want].Addr {
+			t.Errorf("own zone at %d: alternate %v", c.own, alt)
+		}
+	}
+}
+
+// Symptom: a backend server that has just started is flooded. Sequence: its
+// weight keeps primaries away, its idle slots make every balancer name it as
+// the alternate. Cause: an alternate chosen without regard to weights.
+func TestColdAgentIsNotEveryonesAlternate(t *testing.T) {
+	agents := testAgents(3)
+	agents[1].Weight = 51
+	table, l := testTable(t, agents), NewLoad(3, LoadOptions{})
+	l.Report(agents[1].Addr, 0, testStart)
+	l.Report(agents[2].Addr, 20, testStart)
+	for i := range uint64(100) {
+		primary := table.Primary(testID(i))
+		if table.Addr(primary) != agents[0].Addr {
+			continue
+		}
+		if alt, _ := table.Alternate(testID(i), primary, l, testStart); alt.Addr != agents[2].Addr {
+			t.Fatalf("flow %d: the cold agent is the alternate", i)
+		}
+	}
+}
+
 func TestRampRisesToFullInItsSteps(t *testing.T) {
 	r := Ramp{Duration: 10 * time.Second, Steps: 4}
 	last, steps := uint8(0), 0
@@ -115,9 +198,8 @@
 	tables.Set(70000, testTable(t, agents))
 	l, id := NewLoad(1000, LoadOptions{}), testID(1)
 	allocs := testing.AllocsPerRun(100, func() {
-		table := tables.Get(70000)
 		l.Report(agents[7].Addr, 10, testStart)
-		table.Alternate(id, table.Primary(id), l, testStart)
+		tables.Get(70000).Choose(id, l, testStart)
 	})
 	if allocs != 0 {
 		t.Errorf("%v allocations", allocs)
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -41,8 +42,15 @@
 	Services  []Service
 	Zones     []string // balancers and agents take turns; default one zone
 	Seed      uint64
+	// RepeatWindow is the window in which a key runs at most once; default
+	// DefaultRepeatWindow. Starting a fleet takes a little longer than it.
+	RepeatWindow time.Duration
 }
 
+// DefaultRepeatWindow is far below the agent's own default, so that a test
+// need not wait for a fence of more than a minute.
+const DefaultRepeatWindow = 2 * time.Second
+
 // Agent is an agent and its backend server.
 type Agent struct {
 	*Process
@@ -105,9 +113,11 @@
 	}
 	running <- struct{}{}
 	t.Cleanup(func() { <-running })
+	if cfg.RepeatWindow == 0 {
+		cfg.RepeatWindow = DefaultRepeatWindow
+	}
 	f := &Fleet{T: t, cfg: cfg, Addresses: make(map[string]netip.Addr), fleetKey: FleetKey}
-	// Each fleet has loopback addresses of its own: 127.net.x.y.
-	f.net = byte(10 + (uint32(os.Getpid())+nets.Add(1))%200)
+	f.reserveNet()
 	f.startStore()
 	f.fillCatalogue()
 	var err error
@@ -127,6 +137,23 @@
 	return f
 }
 
+// reserveNet gives the fleet loopback addresses of its own, 127.net.x.y. They
+// are held by a listener: were they only told apart by a number drawn, two test
+// runs on one machine would now and then get the same and disturb each other.
+func (f *Fleet) reserveNet() {
+	f.T.Helper()
+	const first, count = 10, 200
+	for range count {
+		f.net = byte(first + (uint32(os.Getpid())+nets.Add(1))%count)
+		ln, err := net.Listen("tcp4", netip.AddrPortFrom(f.addr(0, 0), internalPort).String())
+		if err == nil {
+			f.T.Cleanup(func() { ln.Close() })
+			return
+		}
+	}
+	f.T.Fatal("no free loopback network; another test run holds them all")
+}
+
 func (f *Fleet) addr(kind, n int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, f.net, byte(kind), byte(n + 1)})
 }
@@ -213,6 +240,14 @@
 func (f *Fleet) StartAgent(s Service) *Agent {
 	f.T.Helper()
 	i := len(f.Agents)
+	f.Agents = append(f.Agents, nil)
+	f.startAgent(s, i)
+	return f.Agents[i]
+}
+
+// startAgent starts the i-th agent.
+func (f *Fleet) startAgent(s Service, i int) {
+	f.T.Helper()
 	slots := s.Limits.Slots
 	if slots == 0 {
 		slots = catalogue.DefaultSlots
@@ -233,19 +268,22 @@
 		f.T.Fatal(err)
 	}
 	a.env = map[string]string{
-		"HEMLOCK_AGENT_INTERNAL":  a.Internal.String(),
-		"HEMLOCK_AGENT_BALANCERS": f.seeds(),
-		"HEMLOCK_AGENT_FLEET_KEY": f.fleetKey,
-		"HEMLOCK_AGENT_BACKEND":   "http://" + server.Addr(),
-		"HEMLOCK_AGENT_SERVICE":   s.Name,
-		"HEMLOCK_AGENT_ZONE":      f.cfg.Zones[i%len(f.cfg.Zones)],
-		"HEMLOCK_AGENT_ADMIN":     a.Admin,
-		"HEMLOCK_AGENT_TLS_CERT":  string(cert),
-		"HEMLOCK_AGENT_TLS_KEY":   string(key),
+		"HEMLOCK_AGENT_INTERNAL":         a.Internal.String(),
+		"HEMLOCK_AGENT_BALANCERS":        f.seeds(),
+		"HEMLOCK_AGENT_FLEET_KEY":        f.fleetKey,
+		"HEMLOCK_AGENT_BACKEND":          "http://" + server.Addr(),
+		"HEMLOCK_AGENT_SERVICE":          s.Name,
+		"HEMLOCK_AGENT_ZONE":             f.cfg.Zones[i%len(f.cfg.Zones)],
+		"HEMLOCK_AGENT_ADMIN":            a.Admin,
+		"HEMLOCK_AGENT_TLS_CERT":         string(cert),
+		"HEMLOCK_AGENT_TLS_KEY":          string(key),
+		"HEMLOCK_AGENT_REPEAT_WINDOW":    f.cfg.RepeatWindow.String(),
+		"HEMLOCK_AGENT_REPEAT_EXPIRY":    "500ms",
+		"HEMLOCK_AGENT_REPEAT_SKEW":      "500ms",
+		"HEMLOCK_AGENT_REPEAT_FRESHNESS": "1s",
 	}
 	a.Process = StartProcess(f.T, fmt.Sprintf("agent-%d-%s", i, s.Name), "hemlock-agent", a.env)
-	f.Agents = append(f.Agents, a)
-	return a
+	f.Agents[i] = a
 }
 
 // Restart starts the agent's process again at the same addresses.
@@ -254,14 +292,30 @@
 	a.Process = StartProcess(f.T, a.Process.Name+"-again", "hemlock-agent", a.env)
 }
 
+// StartAgentAt starts an agent of a service at the addresses of old, which has
+// ended, and puts it in old's place.
+func (f *Fleet) StartAgentAt(s Service, old *Agent) *Agent {
+	f.T.Helper()
+	at := slices.Index(f.Agents, old)
+	f.startAgent(s, at)
+	return f.Agents[at]
+}
+
 // Caller returns a caller of a service. It is closed at the end of the test.
 func (f *Fleet) Caller(service string) *caller.Caller {
 	f.T.Helper()
-	c, err := caller.New(caller.Config{
-		Address: netip.AddrPortFrom(f.Addresses[service], f.Fabric.Port()),
-		Service: service,
-		Roots:   f.authority.Pool(),
-	})
+	return f.CallerWith(caller.Config{Service: service})
+}
+
+// CallerWith returns a caller with settings; an address that is not set is the
+// service's first.
+func (f *Fleet) CallerWith(cfg caller.Config) *caller.Caller {
+	f.T.Helper()
+	if !cfg.Address.IsValid() {
+		cfg.Address = netip.AddrPortFrom(f.Addresses[cfg.Service], f.Fabric.Port())
+	}
+	cfg.Roots = f.authority.Pool()
+	c, err := caller.New(cfg)
 	if err != nil {
 		f.T.Fatal(err)
 	}
@@ -278,6 +332,10 @@
 	}
 	for _, a := range f.Agents {
 		f.Eventually(a.Name+" ready", func() bool { return isReady(a.Admin) })
+		f.Eventually(a.Name+" runs requests with keys", func() bool {
+			v, ok := Metric(a.Admin, "hemlock_agent_keys_ready")
+			return ok && v == 1
+		})
 	}
 	want := float64(len(f.Agents))
 	for _, b := range f.Balancers {
