Isolation under forged IDs, reused addresses and moved addresses

Cause (of the fault found): when an agent of another service took over the address of one that was killed, the old service's table kept the address, and a share of that service's new callers got no connection: "records is served" did not hold within 30 s. The packets themselves never crossed: the new agent dropped them as foreign, as it should. Tests: forged, foreign and stale connection IDs sent straight to every balancer are dropped and counted; an address moved by an edit while callers call; an agent's address reused by the other service. Open flows at an address that an edit moves away break, and visibly; that is no planned change of balancers or backend servers.

--- a/internal/balancer/duty.go
+++ b/internal/balancer/duty.go
@@ -208,6 +208,7 @@
 
 func (d *duty) place(r *membership.Record, takesWork bool) {
 	if r.Role != membership.RoleAgent {
+		d.b.places.remove(r.Addr) // it may have been an agent's address before
 		return
 	}
 	if err := d.b.places.set(r, takesWork); err != nil {
--- a/internal/balancer/place.go
+++ b/internal/balancer/place.go
@@ -33,10 +33,15 @@
 	cfg    placement.Config
 	tables placement.Tables
 	load   *placement.Load
+	serves map[netip.AddrPort]uint32 // service of each placed agent; of the control duty alone
 }
 
 func newPlaces(zone string) *places {
-	return &places{cfg: placement.Config{Zone: zone}, load: placement.NewLoad(loadEntries, placement.LoadOptions{})}
+	return &places{
+		cfg:    placement.Config{Zone: zone},
+		load:   placement.NewLoad(loadEntries, placement.LoadOptions{}),
+		serves: make(map[netip.AddrPort]uint32),
+	}
 }
 
 // Choose implements Chooser.
@@ -66,12 +71,39 @@
 
 // set puts an agent's record in force for new flows. takesWork is false for an
 // agent that must get none.
+//
+// An address may be taken over by an agent of another service: a VM is replaced
+// and its address given out again. The old service's table would go on sending
+// it new flows, which it drops as foreign, and a share of that service's new
+// callers would get no connection.
 func (p *places) set(r *membership.Record, takesWork bool) error {
+	if old, ok := p.serves[r.Addr]; ok && old != r.Service {
+		if err := p.remove(r.Addr); err != nil {
+			return err
+		}
+	}
 	a := placement.Agent{Addr: r.Addr, Zone: r.Zone}
 	if takesWork {
 		a.Weight = r.Weight
+		p.serves[r.Addr] = r.Service
+	} else {
+		delete(p.serves, r.Addr)
+	}
+	return p.put(r.Service, a)
+}
+
+// remove takes whatever agent is placed at an address out.
+func (p *places) remove(addr netip.AddrPort) error {
+	service, ok := p.serves[addr]
+	if !ok {
+		return nil
 	}
-	t := p.tables.Get(r.Service)
+	delete(p.serves, addr)
+	return p.put(service, placement.Agent{Addr: addr})
+}
+
+func (p *places) put(service uint32, a placement.Agent) error {
+	t := p.tables.Get(service)
 	if t == nil {
 		t = &placement.Table{}
 	}
@@ -79,6 +111,6 @@
 	if err != nil {
 		return err
 	}
-	p.tables.Set(r.Service, next)
+	p.tables.Set(service, next)
 	return nil
 }
--- /dev/null
+++ b/test/isolation_test.go
@@ -0,0 +1,252 @@
+package test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/connid"
+	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+	"github.com/hemlockscale/hemlockscale/internal/quicwire"
+	"github.com/hemlockscale/hemlockscale/internal/standin/caller"
+	"github.com/hemlockscale/hemlockscale/test/fleet"
+)
+
+const (
+	foreignIDs    = `hemlock_balancer_caller_packets_total{verdict="foreign_id"}`
+	noService     = `hemlock_balancer_caller_packets_total{verdict="no_service"}`
+	malformed     = `hemlock_balancer_caller_packets_total{verdict="malformed"}`
+	agentForeign  = "hemlock_agent_foreign_packets_total"
+	packetsOfKind = 50
+)
+
+// shortHeader returns a packet that carries id.
+func shortHeader(id [connid.Len]byte) []byte {
+	b := make([]byte, 100)
+	b[0] = 0x40
+	copy(b[1:], id[:])
+	return b
+}
+
+func mint(t *testing.T, key string, target connid.Target) [connid.Len]byte {
+	t.Helper()
+	ring, err := fleetkey.Parse(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ids, err := ring.ConnIDs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ids.Mint(target)
+}
+
+// sendTo sends copies of a datagram straight to a socket of the system.
+func sendTo(t *testing.T, to netip.AddrPort, b []byte, copies int) {
+	t.Helper()
+	c, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(to))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for range copies {
+		c.Write(b)
+	}
+}
+
+// counted waits until a metric has grown by n since before.
+func counted(t *testing.T, admin, name string, before float64, n int) {
+	t.Helper()
+	fleet.Eventually(t, name+" counts every datagram", func() bool {
+		v, ok := fleet.Metric(admin, name)
+		return ok && v >= before+float64(n)
+	})
+}
+
+func metric(t *testing.T, admin, name string) float64 {
+	t.Helper()
+	v, ok := fleet.Metric(admin, name)
+	if !ok {
+		t.Fatalf("no metric %s", name)
+	}
+	return v
+}
+
+// TestForgedConnectionIDs: symptom: a packet meant for one service reaches
+// another. Sequence: packets with connection IDs of the other service, with
+// random ones, with ones under a key that is not the fleet's, to an address of
+// no service. Each is dropped by the balancer that it came to and counted.
+func TestForgedConnectionIDs(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, kanatpar())
+	listing, records := f.Entry("listing"), f.Entry("records")
+	ofListing := connid.Target{Agent: f.Agents[0].Internal, Service: listing.Number}
+	cases := []struct {
+		name, counter string
+		address       netip.Addr
+		packet        []byte
+	}{
+		{"of another service", foreignIDs, f.Addresses["records"], shortHeader(mint(t, fleet.FleetKey, ofListing))},
+		{"random", foreignIDs, f.Addresses["records"], shortHeader([connid.Len]byte{0: 1, 5: 99})},
+		{"under a stranger's key", foreignIDs, f.Addresses["listing"], shortHeader(mint(t, "1:ffffffffffffffffffffffffffffffff", ofListing))},
+		{"under an unknown key number", foreignIDs, f.Addresses["listing"], shortHeader(mint(t, "9:ffffffffffffffffffffffffffffffff", ofListing))},
+		{"to an address of no service", noService, f.SpareAddress(9), shortHeader(mint(t, fleet.FleetKey, ofListing))},
+		{"truncated", malformed, f.Addresses["listing"], []byte{0x40, 1, 2, 3}},
+		{"first packet too short", malformed, f.Addresses["listing"], initial(quicwire.MinInitial - 1)},
+	}
+	for _, c := range cases {
+		for _, b := range f.Balancers {
+			before := metric(t, b.Admin, c.counter)
+			sendTo(t, netip.AddrPortFrom(c.address, b.Port), c.packet, packetsOfKind)
+			counted(t, b.Admin, c.counter, before, packetsOfKind)
+		}
+	}
+	// The agent is the second line: a balancer with an old roster or an old
+	// catalogue forwards under a service that the agent does not have.
+	stale := shortHeader(mint(t, fleet.FleetKey, connid.Target{Agent: f.Agents[2].Internal, Service: listing.Number}))
+	before := metric(t, f.Agents[2].Admin, agentForeign)
+	sendTo(t, netip.AddrPortFrom(f.Addresses["listing"], f.Balancers[0].Port), stale, packetsOfKind)
+	counted(t, f.Agents[2].Admin, agentForeign, before, packetsOfKind)
+	if records.Number == listing.Number {
+		t.Error("two services with one number")
+	}
+	serves(t, f, "listing")
+	serves(t, f, "records")
+}
+
+// initial returns a datagram of n bytes that looks like a first packet.
+func initial(n int) []byte {
+	b := make([]byte, n)
+	copy(b, []byte{0xc0, 0, 0, 0, 1, 8, 1, 2, 3, 4, 5, 6, 7, 8})
+	return b
+}
+
+// serves waits until new callers of a service are answered several times in a row.
+func serves(t *testing.T, f *fleet.Fleet, service string) {
+	t.Helper()
+	const inARow = 8
+	ctx, cancel := context.WithTimeout(context.Background(), 3*fleet.Limit)
+	defer cancel()
+	row := 0
+	fleet.Eventually(t, service+" is served", func() bool {
+		c := f.CallerWith(caller.Config{Service: service, Idle: 3 * time.Second})
+		defer c.Close()
+		a, err := c.Card(ctx, fmt.Sprint("after-", row))
+		mustNotBeWrong(t, err)
+		if err != nil || a.Status != 200 {
+			row = 0
+			return false
+		}
+		row++
+		return row == inARow
+	})
+}
+
+// mustNotBeWrong fails the test for what a caller must never see; a failure
+// that shows is none.
+func mustNotBeWrong(t *testing.T, err error) {
+	var e *caller.Error
+	if errors.As(err, &e) && e.Kind != caller.Broken {
+		t.Error(err)
+	}
+}
+
+// TestAgentAddressReused: symptom: callers of one service reach the other, or a
+// part of new callers gets no connection. Sequence: an agent is killed with
+// flows open; an agent of the other service starts at its address and port;
+// packets of the old flows, and for a while new ones, still go there. Cause:
+// an address says nothing about the service behind it.
+func TestAgentAddressReused(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, kanatpar())
+	ctx, cancel := context.WithTimeout(context.Background(), 2*fleet.Limit)
+	defer cancel()
+	var open, broken atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			c := f.CallerWith(caller.Config{Service: "records", Idle: 3 * time.Second})
+			var once sync.Once
+			_, err := c.DownloadAt(ctx, 4*downloadRate, downloadRate, uint64(i), func(uint64) { once.Do(func() { open.Add(1) }) })
+			mustNotBeWrong(t, err)
+			if err != nil {
+				broken.Add(1)
+			}
+		})
+	}
+	fleet.Eventually(t, "downloads open", func() bool { return open.Load() == 8 })
+	old := f.Agents[2]
+	held := metric(t, old.Admin, "hemlock_agent_connections")
+	old.Kill()
+	reused := f.StartAgentAt(kanatpar().Services[0], old)
+	f.Eventually("the new agent counts packets of the old flows", func() bool {
+		v, ok := fleet.Metric(reused.Admin, agentForeign)
+		return held == 0 || ok && v > 0
+	})
+	wg.Wait()
+	if int64(held) != broken.Load() {
+		t.Errorf("%d flows broke, the killed agent held %v", broken.Load(), held)
+	}
+	serves(t, f, "records")
+	serves(t, f, "listing")
+}
+
+// TestAddressMovedBetweenServices: symptom: a caller of one service is answered
+// by the other. Sequence: while callers call at an address, an edit gives the
+// address to the other service; balancers learn it one after the other; packets
+// and whole connections are under way. Each answer comes from the service that
+// was asked, or the call fails visibly.
+func TestAddressMovedBetweenServices(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, kanatpar())
+	moved, spare := f.Addresses["listing"], f.SpareAddress(0)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*fleet.Limit)
+	defer cancel()
+	var answered [2]atomic.Int64
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range 8 {
+		wg.Go(func() {
+			service := []string{"listing", "records"}[i%2]
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				c := f.CallerWith(caller.Config{Service: service, Address: netip.AddrPortFrom(moved, f.Fabric.Port()), Idle: time.Second})
+				for range 3 {
+					a, err := c.Card(ctx, fmt.Sprint(i, "-", n))
+					mustNotBeWrong(t, err)
+					if err == nil && a.Status == 200 {
+						answered[i%2].Add(1)
+					}
+				}
+				c.Close()
+			}
+		})
+	}
+	fleet.Eventually(t, "listing answers at the address", func() bool { return answered[0].Load() > 20 })
+	if n := answered[1].Load(); n > 0 {
+		t.Errorf("records answered %d times before the edit", n)
+	}
+	listing, records := f.Entry("listing"), f.Entry("records")
+	listing.Addresses = []netip.Addr{spare}
+	records.Addresses = append(records.Addresses, moved)
+	f.WaitRevision(f.Apply(catalogue.Edit{Editor: "test", Put: []catalogue.Entry{listing, records}}))
+	fleet.Eventually(t, "records answers at the address", func() bool { return answered[1].Load() > 20 })
+	before := answered[0].Load()
+	fleet.Eventually(t, "records goes on answering", func() bool { return answered[1].Load() > 60 })
+	if n := answered[0].Load() - before; n > 0 {
+		t.Errorf("listing answered %d times at an address that it no longer has", n)
+	}
+	close(stop)
+	wg.Wait()
+}
