--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -83,18 +84,26 @@
 	cfg       Config
 	net       byte
 	authority *pki.Authority
+	fleetKey  string // of processes started from now on
 }
 
 const (
 	internalPort = 7700
 	adminPort    = 7701
-	fleetKey     = "1:000102030405060708090a0b0c0d0e0f"
+	// FleetKey is the fleet key that a fleet starts with.
+	FleetKey = "1:000102030405060708090a0b0c0d0e0f"
+	// atOnce bounds the fleets of one test run that run at a time, so that
+	// parallel tests do not starve each other of processor time.
+	atOnce = 4
 	// Limit bounds every wait on a condition. It is far above what a sound
 	// fleet takes on a busy machine.
 	Limit = 30 * time.Second
 )
 
-var nets atomic.Uint32
+var (
+	nets    atomic.Uint32
+	running = make(chan struct{}, atOnce)
+)
 
 // Start starts a fleet and waits until every service is served.
 func Start(t testing.TB, cfg Config) *Fleet {
@@ -102,12 +111,13 @@
 	if len(cfg.Zones) == 0 {
 		cfg.Zones = []string{"zone-a"}
 	}
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
 	if cfg.RepeatWindow == 0 {
 		cfg.RepeatWindow = DefaultRepeatWindow
 	}
-	f := &Fleet{T: t, cfg: cfg, Addresses: make(map[string]netip.Addr)}
-	// Each fleet has loopback addresses of its own: 127.net.x.y.
-	f.net = byte(10 + (uint32(os.Getpid())+nets.Add(1))%200)
+	f := &Fleet{T: t, cfg: cfg, Addresses: make(map[string]netip.Addr), fleetKey: FleetKey}
+	f.reserveNet()
 	f.startStore()
 	f.fillCatalogue()
 	var err error
@@ -127,6 +137,23 @@
 	return f
 }
 
+// reserveNet gives the fleet loopback addresses of its own, 127.net.x.y. They
+// are held by a listener: were they only told apart by a number drawn, two test
+// runs on one machine would now and then get the same and disturb each other.
+func (f *Fleet) reserveNet() {
+	f.T.Helper()
+	const first, count = 10, 200
+	for range count {
+		f.net = byte(first + (uint32(os.Getpid())+nets.Add(1))%count)
+		ln, err := net.Listen("tcp4", netip.AddrPortFrom(f.addr(0, 0), internalPort).String())
+		if err == nil {
+			f.T.Cleanup(func() { ln.Close() })
+			return
+		}
+	}
+	f.T.Fatal("no free loopback network; another test run holds them all")
+}
+
 func (f *Fleet) addr(kind, n int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, f.net, byte(kind), byte(n + 1)})
 }
@@ -157,12 +184,8 @@
 }
 
 func (f *Fleet) startFabric() {
-	var ports []uint16
-	for _, b := range f.Balancers {
-		ports = append(ports, b.Port)
-	}
 	var err error
-	f.Fabric, err = fabric.Start(fabric.Config{Listen: netip.MustParseAddrPort("0.0.0.0:0"), Balancers: ports, Seed: f.cfg.Seed})
+	f.Fabric, err = fabric.Start(fabric.Config{Listen: netip.MustParseAddrPort("0.0.0.0:0"), Balancers: f.Ports(), Seed: f.cfg.Seed})
 	if err != nil {
 		f.T.Fatal(err)
 	}
@@ -197,7 +220,7 @@
 		"HEMLOCK_BALANCER_INTERNAL":  b.Internal.String(),
 		"HEMLOCK_BALANCER_SEEDS":     f.seeds(),
 		"HEMLOCK_BALANCER_STORE":     f.StoreURL,
-		"HEMLOCK_BALANCER_FLEET_KEY": fleetKey,
+		"HEMLOCK_BALANCER_FLEET_KEY": f.fleetKey,
 		"HEMLOCK_BALANCER_ZONE":      f.cfg.Zones[i%len(f.cfg.Zones)],
 		"HEMLOCK_BALANCER_ADMIN":     b.Admin,
 	}
@@ -210,23 +233,27 @@
 	return b
 }
 
+// SetFleetKey sets the fleet keys of processes that are started from now on.
+func (f *Fleet) SetFleetKey(keys string) { f.fleetKey = keys }
+
 // StartAgent starts one more agent of a service, with a backend server.
 func (f *Fleet) StartAgent(s Service) *Agent {
 	f.T.Helper()
-	return f.startAgent(s, nil)
+	f.Agents = append(f.Agents, nil)
+	return f.startAgent(s, len(f.Agents)-1)
 }
 
 // StartAgentBySlots is StartAgent for an agent that knows balancers from the
 // contact slots in the store alone.
 func (f *Fleet) StartAgentBySlots(s Service) *Agent {
 	f.T.Helper()
-	return f.startAgent(s, []string{"HEMLOCK_AGENT_BALANCERS"})
+	f.Agents = append(f.Agents, nil)
+	return f.startAgent(s, len(f.Agents)-1, "HEMLOCK_AGENT_BALANCERS")
 }
 
-// startAgent starts an agent without the settings named in without.
-func (f *Fleet) startAgent(s Service, without []string) *Agent {
+// startAgent starts the i-th agent without the settings named in without.
+func (f *Fleet) startAgent(s Service, i int, without ...string) *Agent {
 	f.T.Helper()
-	i := len(f.Agents)
 	slots := s.Limits.Slots
 	if slots == 0 {
 		slots = catalogue.DefaultSlots
@@ -250,7 +277,7 @@
 		"HEMLOCK_AGENT_INTERNAL":         a.Internal.String(),
 		"HEMLOCK_AGENT_BALANCERS":        f.seeds(),
 		"HEMLOCK_AGENT_STORE":            f.StoreURL,
-		"HEMLOCK_AGENT_FLEET_KEY":        fleetKey,
+		"HEMLOCK_AGENT_FLEET_KEY":        f.fleetKey,
 		"HEMLOCK_AGENT_BACKEND":          "http://" + server.Addr(),
 		"HEMLOCK_AGENT_SERVICE":          s.Name,
 		"HEMLOCK_AGENT_ZONE":             f.cfg.Zones[i%len(f.cfg.Zones)],
@@ -266,7 +293,7 @@
 		delete(a.env, name)
 	}
 	a.Process = StartProcess(f.T, fmt.Sprintf("agent-%d-%s", i, s.Name), "hemlock-agent", a.env)
-	f.Agents = append(f.Agents, a)
+	f.Agents[i] = a
 	return a
 }
 
@@ -276,14 +303,28 @@
 	a.Process = StartProcess(f.T, a.Process.Name+"-again", "hemlock-agent", a.env)
 }
 
+// StartAgentAt starts an agent of a service at the addresses of old, which has
+// ended, and puts it in old's place.
+func (f *Fleet) StartAgentAt(s Service, old *Agent) *Agent {
+	f.T.Helper()
+	return f.startAgent(s, slices.Index(f.Agents, old))
+}
+
 // Caller returns a caller of a service. It is closed at the end of the test.
 func (f *Fleet) Caller(service string) *caller.Caller {
 	f.T.Helper()
-	c, err := caller.New(caller.Config{
-		Address: netip.AddrPortFrom(f.Addresses[service], f.Fabric.Port()),
-		Service: service,
-		Roots:   f.authority.Pool(),
-	})
+	return f.CallerWith(caller.Config{Service: service})
+}
+
+// CallerWith returns a caller with settings; an address that is not set is the
+// service's first.
+func (f *Fleet) CallerWith(cfg caller.Config) *caller.Caller {
+	f.T.Helper()
+	if !cfg.Address.IsValid() {
+		cfg.Address = netip.AddrPortFrom(f.Addresses[cfg.Service], f.Fabric.Port())
+	}
+	cfg.Roots = f.authority.Pool()
+	c, err := caller.New(cfg)
 	if err != nil {
 		f.T.Fatal(err)
 	}
