--- a/catalogue/bench_test.go
+++ b/catalogue/bench_test.go
@@ -24,6 +24,29 @@
 	return w
 }
 
+// variedSnapshot is a catalogue of the target's size whose names, owners,
+// addresses and limits are random, so that it compresses no better than a
+// real one.
+func variedSnapshot() Snapshot {
+	rng := rand.New(rand.NewPCG(3, 3))
+	classes := []Class{ClassInteractive, ClassStream, ClassDownload}
+	c := New()
+	for c.Len() < targetEntries {
+		e := Entry{
+			Service:   fmt.Sprintf("svc-%08x", rng.Uint32()),
+			Owner:     fmt.Sprintf("owner-%d", rng.IntN(300)),
+			Addresses: []netip.Addr{netip.AddrFrom4([4]byte{10, byte(rng.Uint32()), byte(rng.Uint32()), byte(rng.Uint32())})},
+			Class:     classes[rng.IntN(len(classes))],
+			Limits:    Limits{Connections: 100 * rng.IntN(50), Slots: rng.IntN(20), Queue: rng.IntN(200), Deadline: time.Duration(rng.IntN(30)) * time.Second},
+			Number:    uint32(c.Len() + 1),
+			Version:   1 + rng.Uint64N(50),
+		}
+		c.put(e)
+	}
+	c.revision, c.checksum = 1_000_000, Checksum(rng.Uint64())
+	return c.Snapshot()
+}
+
 func BenchmarkLookup(b *testing.B) {
 	w := targetWriter()
 	t := w.state.Table()
@@ -79,7 +102,7 @@
 // node does, and reports the stream's bytes with and without DEFLATE and the
 // heap that the loaded state and its table keep.
 func BenchmarkFullLoad(b *testing.B) {
-	s := targetWriter().state.Snapshot()
+	s := variedSnapshot()
 	var buf bytes.Buffer
 	if err := s.Write(&buf); err != nil {
 		b.Fatal(err)
@@ -117,7 +140,7 @@
 // BenchmarkDeflate weighs the levels of compression of a snapshot.
 func BenchmarkDeflate(b *testing.B) {
 	var raw []byte
-	for _, e := range targetWriter().state.Entries() {
+	for _, e := range variedSnapshot().Entries {
 		raw = append(raw, encode(e)...)
 	}
 	for _, level := range []int{flate.NoCompression, flate.HuffmanOnly, flate.BestSpeed, 6, flate.BestCompression} {
--- a/catalogue/calls_bench_test.go
+++ b/catalogue/calls_bench_test.go
@@ -65,6 +65,30 @@
 	}
 }
 
+// BenchmarkHistoryKept reports the fewest changes that the store kept over
+// 4,000 single edits, the first 2,000 left out. Run with -benchtime 1x.
+func BenchmarkHistoryKept(b *testing.B) {
+	for range b.N {
+		st, w := newMemStore(1), newWriter()
+		ed := &Editor{Store: st}
+		fewest := uint64(1 << 63)
+		for i := range 4000 {
+			if _, err := ed.Apply(context.Background(), Edit{Editor: "ayse", Put: []Entry{w.edit(1, 1000)[0].Entry}}); err != nil {
+				b.Fatal(err)
+			}
+			h, _, err := ReadHead(context.Background(), st)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if i >= 2000 {
+				fewest = min(fewest, h.Revision-h.oldest())
+			}
+		}
+		b.ReportMetric(float64(fewest), "changes")
+		b.ReportMetric(float64(fewest)*24*60/ratePerDay, "minutes")
+	}
+}
+
 // targetStore holds the target's catalogue.
 func targetStore(b *testing.B) (*memStore, *writer) {
 	st, w := newMemStore(1), newWriter()
--- /dev/null
+++ b/internal/store/follow_test.go
@@ -0,0 +1,67 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hemlockscale/hemlockscale/catalogue"
+	standin "github.com/hemlockscale/hemlockscale/internal/standin/store"
+	"github.com/hemlockscale/hemlockscale/internal/store"
+)
+
+// Symptom: a contact-slot holder stops following the catalogue.
+// Events: watches stop silently, then the store goes down and comes back,
+// with an edit after each.
+// Cause: a follower that trusts its watch, or gives up when calls fail.
+func TestFollowOverHTTP(t *testing.T) {
+	s := standin.New(standin.Config{WatchWait: 200 * time.Millisecond})
+	hs := httptest.NewServer(s.Handler())
+	defer hs.Close()
+	client, err := store.New(store.Config{URL: hs.URL})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	st := store.ForCatalogue(client)
+
+	var mu sync.Mutex
+	moved := make(chan uint64, 64)
+	r := catalogue.NewReplica(catalogue.ReplicaConfig{Peers: func(int) []netip.AddrPort { return nil }})
+	f := catalogue.NewFollower(catalogue.FollowerConfig{Check: 50 * time.Millisecond, BackoffMax: 50 * time.Millisecond, Rand: rand.New(rand.NewPCG(1, 1))}, r)
+	do := func(run func(time.Time)) {
+		mu.Lock()
+		defer mu.Unlock()
+		before := r.Digest().Revision
+		run(time.Now())
+		if now := r.Digest().Revision; now > before {
+			moved <- now
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = store.Follow(ctx, st, f, do) })
+	defer wg.Wait()
+	defer cancel()
+
+	for i, faults := range []standin.Faults{{}, {StopWatches: true}, {}, {Outage: true}, {}} {
+		s.SetFaults(faults)
+		if faults.Outage {
+			continue // the edit comes with the end of the outage
+		}
+		e := catalogue.Entry{Service: fmt.Sprintf("s%d", i), Owner: "kanatpar", Class: catalogue.ClassStream}
+		e.Addresses = []netip.Addr{netip.AddrFrom4([4]byte{10, 0, 0, byte(1 + i)})}
+		a, err := (&catalogue.Editor{Store: st}).Apply(ctx, catalogue.Edit{Editor: "ayse", Put: []catalogue.Entry{e}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for got := uint64(0); got < a.Revision; {
+			got = <-moved
+		}
+	}
+}
