Membership: deltas, full messages in a burst, a quorum that follows the zone

Cause: 400 changes at once took 72 s to reach all of 512 balancers, ten a second 57 s. A zone of 32 balancers was never taken for lost in two of six regions, which had fewer than five possible witnesses. The byte rate of 5 KB/s made more than 8 KB/s sent and received together.

Change: gossip about a known incarnation is a Delta (about 19 B in place of 46); while more than 16 changes wait, each gets 6 transmissions, messages are sent only when they hold 400 B, and no digests are compared. The witnesses that a zone needs follow from the possible ones in the region. Rate 3,584 B/s.

--- a/membership/bulk_test.go
+++ b/membership/bulk_test.go
@@ -52,6 +52,7 @@
 		{Kind: KindHeartbeat, Incarnation: rec.Incarnation, Version: 1},
 		{Kind: KindAck, Incarnation: rec.Incarnation, Version: 1, Flags: FlagWant | FlagSuspected, Peers: peers},
 		{Kind: KindGossip, Records: []Record{rec}, Zones: []ZoneFact{{Viewer: "region-0", Zone: "zone-01", Region: "region-0", Epoch: 1, Witnesses: []uint64{1}}}},
+		{Kind: KindGossip, Deltas: []Delta{{Addr: rec.Addr, Incarnation: 1, Version: 2, State: StateLeaving}}},
 		{Kind: KindDoubt, Incarnation: rec.Incarnation, Peers: peers[:1]},
 		{Kind: KindOpinion, Incarnation: rec.Incarnation, Peers: peers[:1], Flags: FlagSilent},
 		{Kind: KindRoot, Hash: 1, Count: 3, Records: []Record{rec}},
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -16,6 +16,13 @@
 	// repairedLeft transmissions are spent on a record that came by repair:
 	// most others know it already.
 	repairedLeft = 3
+	// backlog of changes above which each gets only backlogTransmissions, so
+	// that a burst reaches most balancers soon; repair fetches the rest.
+	backlog              = 16
+	backlogTransmissions = 6
+	// floodedRoom is what a message must hold while changes wait: small ones
+	// would spend the byte rate on headers.
+	floodedRoom = 400
 	// spareTransmissions beyond the logarithm of the fleet make up for loss.
 	spareTransmissions = 6
 )
@@ -24,8 +31,11 @@
 // the logarithm of the fleet: the share that a change misses falls by e with
 // each further transmission, and repair fetches the rest.
 func (m *Machine) transmissions() int {
-	n := len(m.roster.liveAll())
-	return bits.Len(uint(n)) + spareTransmissions
+	n := bits.Len(uint(len(m.roster.liveAll()))) + spareTransmissions
+	if m.flooded() {
+		return min(n, backlogTransmissions)
+	}
+	return n
 }
 
 // gossipQueue orders changes by urgency, then by fewest transmissions. The
@@ -39,13 +49,15 @@
 type queuePos struct {
 	class uint8
 	sent  uint8
+	full  bool // the receivers don't know the incarnation yet
 }
 
-func (q *gossipQueue) add(k key, urgent bool, sent int) {
+// add queues a change; full is kept if an earlier change of it waits as such.
+func (q *gossipQueue) add(k key, urgent, full bool, sent int) {
 	if q.level == nil {
 		q.level = map[key]queuePos{}
 	}
-	p := queuePos{class: 1, sent: uint8(min(max(sent, 0), 31))}
+	p := queuePos{class: 1, sent: uint8(min(max(sent, 0), 31)), full: full || q.level[k].full}
 	if urgent {
 		p.class = 0
 	}
@@ -61,8 +73,8 @@
 			for len(*list) > 0 {
 				k = (*list)[0]
 				*list = (*list)[1:]
-				p = queuePos{uint8(class), uint8(sent)}
-				if q.level[k] == p {
+				p, ok = q.level[k]
+				if ok && int(p.class) == class && int(p.sent) == sent {
 					delete(q.level, k)
 					return k, p, true
 				}
@@ -96,7 +108,11 @@
 		return nil
 	}
 	room := min(MaxMessage-sizeHead, int(m.tokens)/copies-sizeTypical-sizeOnWire)
-	if room < maxRecord {
+	least := maxRecord
+	if m.flooded() {
+		least = max(maxRecord, min(floodedRoom, m.cfg.Rate/2*3/4/copies-sizeTypical-sizeOnWire))
+	}
+	if room < least {
 		m.stats.Held++
 		return nil
 	}
@@ -116,23 +132,33 @@
 		if c == nil {
 			continue
 		}
-		rec := m.roster.record(c)
-		room -= rec.size()
-		msg.Records = append(msg.Records, rec)
+		room -= m.pack(msg, c, p.full)
 		p.sent += uint8(copies)
 		if int(p.sent) < limit {
 			again = append(again, taken{k, p})
 		}
 	}
 	for _, t := range again {
-		m.queue.add(t.k, t.p.class == 0, int(t.p.sent))
+		m.queue.add(t.k, t.p.class == 0, t.p.full, int(t.p.sent))
 	}
-	if len(msg.Records) == 0 && len(msg.Zones) == 0 {
+	if len(msg.Records) == 0 && len(msg.Deltas) == 0 && len(msg.Zones) == 0 {
 		return nil
 	}
 	return msg
 }
 
+// pack adds a change to a message and returns its size.
+func (m *Machine) pack(msg *Message, c *cell, full bool) int {
+	if full {
+		rec := m.roster.record(c)
+		msg.Records = append(msg.Records, rec)
+		return rec.size()
+	}
+	d := c.delta()
+	msg.Deltas = append(msg.Deltas, d)
+	return d.size()
+}
+
 func (m *Machine) factsWait(limit int) bool {
 	for z := range m.views {
 		if m.views[z].sent < limit {
@@ -198,4 +224,5 @@
 		}
 	}
 	m.sendRecords(from, newer)
+	m.mergeDeltas(now, from, msg.Deltas)
 }
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -39,15 +39,19 @@
 	set(&t.ForgetAfter, 24*time.Hour)
 }
 
-// DefaultRate bounds what a Machine sends, in bytes a second on the wire.
-const DefaultRate = 5 << 10
+// DefaultRate bounds what a Machine sends, in bytes a second on the wire. What
+// it receives is about as much, so that both together stay below 8 KB/s.
+const DefaultRate = 3584
+
+// MinRate is the least rate with which gossip can send full records.
+const MinRate = 2048
 
 // Config describes a balancer's Machine.
 type Config struct {
 	Self   Record           // Role must be RoleBalancer
 	Seeds  []netip.AddrPort // balancers to turn to at the start
 	Seed   uint64           // seeds the choice of peers
-	Rate   int              // bytes a second sent, default DefaultRate; reports and acks always pass
+	Rate   int              // bytes a second sent, default DefaultRate, at least MinRate; reports and acks always pass
 	Timing Timing
 	Entry  func() uint64 // value that acks carry to their subjects, may be nil
 }
@@ -133,6 +137,7 @@
 	if cfg.Rate == 0 {
 		cfg.Rate = DefaultRate
 	}
+	cfg.Rate = max(cfg.Rate, MinRate)
 	self, err := NewAnnouncer(AnnouncerConfig{
 		Self: cfg.Self, Seeds: cfg.Seeds, Interval: cfg.Timing.Heartbeat, Seed: cfg.Seed,
 	})
@@ -383,13 +388,15 @@
 // apply stores a record, reports the change and queues it for gossip as one
 // that was sent so many times already.
 func (m *Machine) apply(now time.Time, rec *Record, sent int) {
+	known := m.roster.find(keyOf(rec.Addr))
+	full := known == nil || known.incarnation != rec.Incarnation
 	c := m.roster.put(rec)
 	m.hotAt[bucketOf(c.key)/groupSize] = now
 	m.changes = append(m.changes, Change{Kind: ChangeRecord, Record: *rec})
 	if rec.Verdict == VerdictDead {
 		m.dead = append(m.dead, tombstone{c.key, rec.Incarnation, now})
 	}
-	m.queue.add(c.key, !rec.TakesWork(), sent)
+	m.queue.add(c.key, !rec.TakesWork(), full, sent)
 }
 
 // refute answers a verdict about this balancer with a higher version.
--- a/membership/message.go
+++ b/membership/message.go
@@ -22,7 +22,7 @@
 	KindAnnounce  Kind = 1  // subject to observer: Records[0], Hash of its observers
 	KindHeartbeat Kind = 2  // subject to observer: Incarnation, Version, Hash of its observers
 	KindAck       Kind = 3  // observer to subject: Incarnation, Version, Flags, Entry, Peers
-	KindGossip    Kind = 4  // balancer to balancer: Records, Zones
+	KindGossip    Kind = 4  // balancer to balancer: Records, Deltas, Zones
 	KindDoubt     Kind = 5  // observer to observer: Peers[0] is silent here, Incarnation
 	KindOpinion   Kind = 6  // answer to KindDoubt: Peers[0], Incarnation, Flags
 	KindRoot      Kind = 7  // digest of the whole roster: Hash, Count
@@ -59,6 +59,7 @@
 	Records     []Record         `cbor:"11,keyasint,omitempty"`
 	Zones       []ZoneFact       `cbor:"12,keyasint,omitempty"`
 	Buckets     []uint16         `cbor:"13,keyasint,omitempty"`
+	Deltas      []Delta          `cbor:"14,keyasint,omitempty"`
 }
 
 // Envelope is a message and the process it goes to. Several envelopes may
@@ -117,6 +118,9 @@
 	for i := range m.Records {
 		n += m.Records[i].size()
 	}
+	for i := range m.Deltas {
+		n += m.Deltas[i].size()
+	}
 	for i := range m.Zones {
 		n += m.Zones[i].size()
 	}
@@ -176,6 +180,11 @@
 			return nil, &MessageError{"peer without IPv4 address", "count and drop the datagram"}
 		}
 	}
+	for i := range m.Deltas {
+		if err := m.Deltas[i].check(); err != nil {
+			return nil, err
+		}
+	}
 	for i := range m.Zones {
 		if err := m.Zones[i].check(); err != nil {
 			return nil, err
--- a/membership/message_test.go
+++ b/membership/message_test.go
@@ -37,6 +37,10 @@
 		if len(b) != r.size() {
 			rt.Fatalf("%+v takes %d bytes, size says %d", r, len(b), r.size())
 		}
+		d := Delta{Addr: r.Addr, Incarnation: r.Service, Version: r.Version, State: r.State, Weight: r.Weight}
+		if b, err = cbor.Marshal(&d); err != nil || len(b) != d.size() {
+			rt.Fatalf("%+v takes %d bytes, size says %d (%v)", d, len(b), d.size(), err)
+		}
 	})
 }
 
@@ -80,6 +84,7 @@
 		"IPv6":          func(m *Message) { m.Peers = []netip.AddrPort{netip.MustParseAddrPort("[::1]:1")} },
 		"hashes":        func(m *Message) { m.Hashes = []byte{1} },
 		"witnesses":     func(m *Message) { m.Zones = []ZoneFact{{Zone: "a", Witnesses: make([]uint64, 9)}} },
+		"delta":         func(m *Message) { m.Deltas = []Delta{{Addr: good.Addr, State: 9}} },
 		"zone unnamed":  func(m *Message) { m.Zones = []ZoneFact{{}} },
 		"region's size": func(m *Message) { m.Records[0].Region = string(make([]byte, MaxLabel+1)) },
 	}
--- a/membership/repair.go
+++ b/membership/repair.go
@@ -26,12 +26,20 @@
 	farCompare = 4
 )
 
+// flooded tells that many changes still wait for gossip. Rosters differ then
+// for that reason alone, and comparing them would take the bytes that the
+// changes need.
+func (m *Machine) flooded() bool { return len(m.queue.level) > backlog }
+
 // compare starts a comparison when one is due.
 func (m *Machine) compare(now time.Time) {
 	if now.Sub(m.compareAt) < m.cfg.Timing.Compare {
 		return
 	}
 	m.compareAt = now
+	if m.flooded() {
+		return
+	}
 	list := m.roster.live[m.zone]
 	if len(list) < 2 || m.rng.IntN(farCompare) == 0 {
 		list = m.roster.liveAll()
@@ -93,6 +101,9 @@
 		m.stats.Held++
 		return
 	}
+	if m.flooded() && msg.Kind != KindWant && int(msg.Count) <= m.roster.count+bulkDifference {
+		return
+	}
 	switch msg.Kind {
 	case KindRoot:
 		m.onRoot(from, msg)
--- a/membership/zonefact.go
+++ b/membership/zonefact.go
@@ -29,8 +29,8 @@
 	maxWitnesses = 5
 	// Zones with fewer balancers are judged record by record: there are few.
 	foldBalancers = 4
-	// So many balancers of a zone need one witness.
-	balancersPerWitness = 3
+	// One of so many possible witnesses has to be one.
+	possiblePerWitness = 3
 	// A doubt isn't raised again so soon after the zone was heard, so that a
 	// flapping link can't fill the gossip with epochs.
 	zoneSettle = 5 * time.Second
@@ -140,8 +140,7 @@
 	v.changedAt = now
 	v.sent = 0
 	info := &m.roster.zones[z]
-	quorum := min(max(len(m.roster.live[z])/balancersPerWitness, 1), maxWitnesses)
-	down := v.doubted() && len(v.witnesses) >= quorum && z != m.zone
+	down := v.doubted() && z != m.zone && len(v.witnesses) >= m.quorum(z)
 	if down == info.down {
 		return
 	}
@@ -153,6 +152,19 @@
 	m.changes = append(m.changes, Change{Kind: ChangeZone, Zone: info.name, Region: info.region, Reachable: !down})
 }
 
+// quorum is the number of witnesses that it takes. The possible ones are the
+// observers, in this region, of the zone's balancers.
+func (m *Machine) quorum(z uint16) int {
+	possible := 0
+	for _, k := range m.roster.live[z] {
+		far, ok := m.roster.farZone(k, z)
+		if ok && m.roster.zones[far].region == m.self.self.Region {
+			possible++
+		}
+	}
+	return min(max(possible/possiblePerWitness, 1), maxWitnesses)
+}
+
 // zoneFacts adds the facts that still have to spread to a gossip message.
 func (m *Machine) zoneFacts(msg *Message, room int) int {
 	for z := range m.views {
