--- a/membership/machine.go
+++ b/membership/machine.go
@@ -7,88 +7,6 @@
 	"time"
 )
 
-// Timing holds the periods of a Machine. A zero field means its default.
-type Timing struct {
-	Heartbeat     time.Duration // of this balancer to its observers, default DefaultInterval
-	SuspectAfter  time.Duration // silence after which an observer asks the others, default 2.5 s
-	DeadAfter     time.Duration // from suspect to dead without a refutation, default 8 s
-	AloneAfter    time.Duration // doubt after which one observer decides alone, default 10 s
-	FoldAfter     time.Duration // doubt after which an observer outside the zone takes the zone for lost, default 2 s
-	PauseAfter    time.Duration // gap between calls that counts as a pause of our own, default 1 s
-	IsolatedAfter time.Duration // without any message nobody is judged, default 1.5 s
-	Compare       time.Duration // between comparisons of digests, default 1 s
-	ProbeLost     time.Duration // between messages to balancers out of contact, default 15 s
-	ForgetAfter   time.Duration // dead records are kept so long, default 24 h
-}
-
-func (t *Timing) setDefaults() {
-	set := func(d *time.Duration, v time.Duration) {
-		if *d == 0 {
-			*d = v
-		}
-	}
-	set(&t.Heartbeat, DefaultInterval)
-	set(&t.SuspectAfter, 2500*time.Millisecond)
-	set(&t.DeadAfter, 8*time.Second)
-	set(&t.AloneAfter, 10*time.Second)
-	set(&t.FoldAfter, 2*time.Second)
-	set(&t.PauseAfter, time.Second)
-	set(&t.IsolatedAfter, 1500*time.Millisecond)
-	set(&t.Compare, time.Second)
-	set(&t.ProbeLost, 15*time.Second)
-	set(&t.ForgetAfter, 24*time.Hour)
-}
-
-// DefaultRate bounds what a Machine sends, in bytes a second on the wire. What
-// it receives is about as much, so that both together stay below 8 KB/s.
-const DefaultRate = 3584
-
-// MinRate is the least rate with which gossip can send full records.
-const MinRate = 2048
-
-// Config describes a balancer's Machine.
-type Config struct {
-	Self   Record           // Role must be RoleBalancer
-	Seeds  []netip.AddrPort // balancers to turn to at the start
-	Seed   uint64           // seeds the choice of peers
-	Rate   int              // bytes a second sent, default DefaultRate, at least MinRate; reports and acks always pass
-	Timing Timing
-	Entry  func() uint64 // value that acks carry to their subjects, may be nil
-}
-
-// ChangeKind says what a Change reports.
-type ChangeKind uint8
-
-// The kinds of changes.
-const (
-	ChangeRecord ChangeKind = 1 // Record is new or replaces the one at its address
-	ChangeForget ChangeKind = 2 // Record was removed from the roster
-	ChangeZone   ChangeKind = 3 // all of Zone became Reachable or not from here
-)
-
-// Change is one change of the roster.
-type Change struct {
-	Kind         ChangeKind
-	Record       Record
-	Zone, Region string
-	Reachable    bool
-}
-
-// Stats counts what a Machine did since its start. Bytes are on the wire,
-// headers and seal included.
-type Stats struct {
-	Records, Balancers              int // in the roster now; live balancers
-	Watched                         int // processes that report here
-	SentMessages, SentBytes         uint64
-	ReceivedMessages, ReceivedBytes uint64
-	SentByKind                      [KindRepair + 1]uint64 // bytes
-	Suspected, Declared             uint64                 // verdicts given here: suspect, dead
-	Refuted                         uint64                 // suspicions of this balancer that it refuted
-	Pauses                          uint64                 // pauses of this process that it noticed
-	Held                            uint64                 // messages not sent because of Rate
-	Queued                          int                    // records waiting for gossip
-}
-
 // Machine is a balancer's view of the fleet. The zero value is not usable,
 // see NewMachine.
 type Machine struct {
@@ -121,13 +39,6 @@
 	stats   Stats
 }
 
-// tombstone is a dead record to forget later.
-type tombstone struct {
-	key         key
-	incarnation uint64
-	at          time.Time
-}
-
 // NewMachine returns a Machine that knows only itself, or a *RecordError.
 func NewMachine(cfg Config) (*Machine, error) {
 	if cfg.Self.Role != RoleBalancer {
@@ -330,18 +241,6 @@
 	m.refillAt = now
 }
 
-// adoptSelf enters this balancer's own record into its roster.
-func (m *Machine) adoptSelf(now time.Time) {
-	c := m.roster.find(m.selfKey)
-	rec := m.self.self
-	if c != nil {
-		if old := m.roster.record(c); !rec.Newer(&old) {
-			return
-		}
-	}
-	m.apply(now, &rec, 0)
-}
-
 // collectSelf moves the messages of this balancer's own Announcer.
 func (m *Machine) collectSelf() {
 	for _, e := range m.self.Outbox() {
@@ -365,68 +264,3 @@
 	}
 	m.self.adopt(now, peers)
 }
-
-// merge takes in a record and reports whether it was news.
-func (m *Machine) merge(now time.Time, rec *Record, sent int) bool {
-	if keyOf(rec.Addr) == m.selfKey {
-		m.refute(now, rec)
-		return false
-	}
-	if c := m.roster.find(keyOf(rec.Addr)); c != nil {
-		old := m.roster.record(c)
-		if !rec.Newer(&old) {
-			return false
-		}
-		if rec.Incarnation == old.Incarnation && old.State == StateLeaving && rec.State != StateLeaving {
-			return false
-		}
-	}
-	m.apply(now, rec, sent)
-	return true
-}
-
-// apply stores a record, reports the change and queues it for gossip as one
-// that was sent so many times already.
-func (m *Machine) apply(now time.Time, rec *Record, sent int) {
-	known := m.roster.find(keyOf(rec.Addr))
-	full := known == nil || known.incarnation != rec.Incarnation
-	c := m.roster.put(rec)
-	m.hotAt[bucketOf(c.key)/groupSize] = now
-	m.changes = append(m.changes, Change{Kind: ChangeRecord, Record: *rec})
-	if rec.Verdict == VerdictDead {
-		m.dead = append(m.dead, tombstone{c.key, rec.Incarnation, now})
-	}
-	m.queue.add(c.key, !rec.TakesWork(), full, sent)
-}
-
-// refute answers a verdict about this balancer with a higher version.
-func (m *Machine) refute(now time.Time, rec *Record) {
-	own := &m.self.self
-	if rec.Incarnation > own.Incarnation {
-		m.self.outlive(now, rec.Incarnation)
-	} else if rec.Incarnation == own.Incarnation && rec.Version >= own.Version && rec.Verdict != VerdictAlive {
-		own.Version = rec.Version
-		m.self.bump(now)
-	} else {
-		return
-	}
-	m.stats.Refuted++
-	m.adoptSelf(now)
-	m.collectSelf()
-}
-
-// forgetDead removes dead records after Timing.ForgetAfter. They are kept for
-// so long because a balancer that was cut off for hours would otherwise bring
-// them back as alive.
-func (m *Machine) forgetDead(now time.Time) {
-	for len(m.dead) > 0 && now.Sub(m.dead[0].at) >= m.cfg.Timing.ForgetAfter {
-		t := m.dead[0]
-		m.dead = m.dead[1:]
-		c := m.roster.find(t.key)
-		if c == nil || c.verdict != VerdictDead || c.incarnation != t.incarnation {
-			continue
-		}
-		m.changes = append(m.changes, Change{Kind: ChangeForget, Record: m.roster.record(c)})
-		m.roster.forget(t.key)
-	}
-}
