Whole answers or visible failures; not run means not run

Cause: no proof stood for answers through a fabric that loses, doubles, reorders and delays at once, for backend servers that fail after the work was done, nor for what refusals claim. Change: the backend stand-in fails short requests in six ways after it journaled them (no answer, garbage, half a header, cut by length, cut chunks, stalled body); each refusal path is held under load against the journals of all backend servers, with a time to come back on every refusal. Not proved: an answer without length whose end is the end of its connection (HTTP/1.0) looks whole when it is cut; no agent can tell.

--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -45,6 +45,7 @@
 	work  atomic.Int64 // nanoseconds
 	shed  atomic.Bool
 	stall atomic.Bool
+	fault atomic.Int32 // a Fault
 
 	mu      sync.Mutex
 	journal []Run
@@ -160,6 +161,9 @@
 
 func (s *Server) card(w http.ResponseWriter, r *http.Request) {
 	s.spend(r)
+	if s.failed(w, r) {
+		return
+	}
 	io.WriteString(w, content.Card(s.cfg.Service, r.PathValue("id")))
 }
 
@@ -173,6 +177,9 @@
 		return
 	}
 	s.spend(r)
+	if s.failed(w, r) {
+		return
+	}
 	w.WriteHeader(http.StatusCreated)
 	fmt.Fprintf(w, "%s reserved %s for %s\n", s.cfg.Service, body, key)
 }
