Follow the store without a slot; serve from agents' entries for want of a catalogue

Cause: after an outage of the store an edit was in force nowhere for more than 30 s though the store answered again: only holders of a contact slot followed it, all leases had lapsed, and slots are taken again after a backoff of up to a minute. And with all balancers restarted during an outage nothing was served. Change: the few candidates for slots of each zone follow the store too; balancers without a catalogue take the entries that agents offer them. Agents' entries may be as old as their last answer: an address that moved between services just before the outage can be served by its old one.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -206,6 +206,19 @@
 	}
 	if d.announcer != nil {
 		d.announcer.Receive(now, from, msg)
+		d.offerEntry(from, msg)
+	}
+}
+
+// offerEntry gives this agent's entry to a balancer that has no catalogue, as
+// after a restart of all balancers while the store is down: the agents' entries
+// are then all that is left of it.
+func (d *duty) offerEntry(to netip.AddrPort, msg *membership.Message) {
+	if msg.Kind != membership.KindAck || msg.Entry != 0 {
+		return
+	}
+	if m, ok := d.held.Offer(); ok {
+		d.link.SendBytes(seal.TopicCatalogue, to, m.Encode())
 	}
 }
 
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -48,6 +48,7 @@
 	places   *places
 	address  *addresses
 	digest   atomic.Pointer[catalogue.Digest] // of the catalogue in force, nil for none
+	interim  atomic.Bool                      // agents' entries are in force, for want of the catalogue
 	bulk     *bulk.Port
 	metrics  *metrics
 	control  *duty
@@ -117,8 +118,9 @@
 	return 0
 }
 
-// Ready reports whether the balancer knows the catalogue.
-func (b *Balancer) Ready() bool { return b.digest.Load() != nil }
+// Ready reports whether the balancer knows the catalogue, or at least the
+// entries of agents.
+func (b *Balancer) Ready() bool { return b.digest.Load() != nil || b.interim.Load() }
 
 // AgentsReady returns how many agents take new flows.
 func (b *Balancer) AgentsReady() int { return int(b.agentsReady.Load()) }
--- a/internal/balancer/duty.go
+++ b/internal/balancer/duty.go
@@ -26,6 +26,7 @@
 	machine  *membership.Machine
 	replica  *catalogue.Replica
 	follower *catalogue.Follower
+	interim  catalogue.Interim // agents' entries, while the replica has nothing
 	slots    *membership.Slots
 	follows  *followCalls
 	contacts *contact.Caller
@@ -37,7 +38,8 @@
 	states    chan membership.State
 	questions chan bulkQuestion
 	answers   chan bulkAnswer
-	seeded    int // contacts from the store among the machine's seeds
+	following bool // the catalogue in the store
+	seeded    int  // contacts from the store among the machine's seeds
 }
 
 func newDuty(b *Balancer) (*duty, error) {
@@ -112,6 +114,7 @@
 		case now := <-tick.C:
 			d.machine.Tick(now)
 			d.replica.Tick(now)
+			d.following = d.followsStore(now)
 		case <-ctx.Done():
 			return
 		}
@@ -123,14 +126,25 @@
 	}
 }
 
-// callStore makes the calls to the platform's store that are due. Only the
-// holder of a contact slot follows the catalogue there; all others have it from
-// balancers, so that the store's calls grow with zones and not with the fleet.
+// followsStore reports whether this balancer follows the catalogue in the
+// store. Those that hold a contact slot or would take an empty one do, a few in
+// each availability zone; all others have it from balancers, so that the
+// store's calls grow with zones and not with the fleet.
+//
+// Holding alone would not do: in an outage of the store all leases lapse, slots
+// are taken again only after a backoff of up to a minute, and until then an
+// edit would be in force nowhere though the store answers again.
+func (d *duty) followsStore(now time.Time) bool {
+	_, holds := d.slots.Holds(now)
+	return holds || d.machine.SlotCandidate()
+}
+
+// callStore makes the calls to the platform's store that are due.
 func (d *duty) callStore(ctx context.Context, now time.Time) {
 	if call, ok := d.slots.Next(now); ok {
 		d.contacts.Make(ctx, call)
 	}
-	if _, holds := d.slots.Holds(now); holds {
+	if d.following {
 		d.follows.make(ctx, d.follower.Next(now))
 	}
 	if contacts := d.slots.Contacts(); len(contacts) != d.seeded {
--- a/internal/balancer/spread.go
+++ b/internal/balancer/spread.go
@@ -148,6 +148,12 @@
 		return
 	}
 	d.replica.Receive(now, from, m)
+	if d.replica.Digest().Revision == 0 && d.interim.Receive(m) {
+		d.b.address.table.Store(d.interim.Table())
+		d.b.interim.Store(true)
+		d.machine.SetState(now, membership.StateReady)
+		d.b.log.Warn("an agent's entry in force, for want of the catalogue", zap.String("service", m.Reply.Service))
+	}
 }
 
 // flushCatalogue sends what the replica wants sent and puts its state in force.
@@ -164,6 +170,7 @@
 		return
 	}
 	d.b.digest.Store(&digest)
+	d.interim = catalogue.Interim{}
 	d.b.address.table.Store(d.replica.Table())
 	d.b.metrics.revision.Set(float64(digest.Revision))
 	d.b.log.Info("catalogue in force", zap.Uint64("revision", digest.Revision), zap.Stringer("checksum", digest.Checksum))
--- a/test/catalogue_test.go
+++ b/test/catalogue_test.go
@@ -131,3 +131,25 @@
 	inForce(t, f, revision)
 	inForce(t, f, edit(t, f, "records", 99))
 }
+
+// TestAllBalancersRestartWhileStoreIsDown: symptom: after a power cut of the
+// entry VMs every packet is dropped until the store is back. Sequence: the
+// store goes down; all balancers are restarted at once. Cause: the catalogue
+// was in balancers and the store only. Agents hold their own entries.
+func TestAllBalancersRestartWhileStoreIsDown(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, kanatpar())
+	f.Store.SetFaults(standin.Faults{Outage: true})
+	for _, b := range f.Balancers {
+		b.Kill()
+	}
+	for i := range f.Balancers {
+		f.StartBalancer(i)
+	}
+	f.WaitReady()
+	serves(t, f, "listing")
+	serves(t, f, "records")
+	f.Store.SetFaults(standin.Faults{})
+	inForce(t, f, edit(t, f, "listing", 72))
+	serves(t, f, "listing")
+}
