Membership: tests of single merge rules

Each was seen red: delta without the incarnation check, leaving overridden by a higher version, a forgotten dead record asked for, facts of other regions taken over.

--- /dev/null
+++ b/membership/merge_test.go
@@ -0,0 +1,117 @@
+package membership
+
+import (
+	"testing"
+	"time"
+)
+
+// known returns a machine that holds rec, with its own gossip emptied.
+func known(t *testing.T, rec Record) (*exchange, *Machine) {
+	x := newExchange(t, 10)
+	m := x.balancer(0, 0).machine
+	m.Tick(x.now)
+	m.MergeAll(x.now, []Record{rec})
+	m.Outbox()
+	m.Changes()
+	return x, m
+}
+
+func agentRecord() Record {
+	return Record{
+		Addr: addrOf(RoleAgent, 1), Role: RoleAgent, State: StateReady, Weight: 9, Service: 1,
+		Incarnation: 500, Version: 3, Zone: zoneName(0), Region: "region-0",
+	}
+}
+
+// Symptom: a restarted agent is listed under its predecessor's service or zone.
+// Sequence: a delta of the new process arrives before its full record.
+// Cause: the delta is applied to the record of another incarnation.
+func TestDeltaOfAnotherIncarnationAsksForTheRecord(t *testing.T) {
+	rec := agentRecord()
+	x, m := known(t, rec)
+	d := Delta{Addr: rec.Addr, Incarnation: shortIncarnation(501), Version: 4, State: StateLeaving}
+	m.Receive(x.now, addrOf(RoleBalancer, 1), &Message{Kind: KindGossip, Deltas: []Delta{d}})
+	if got, _ := m.Lookup(rec.Addr); got != rec {
+		t.Errorf("the record became %+v", got)
+	}
+	out := m.Outbox()
+	if len(out) != 1 || out[0].Msg.Kind != KindWant {
+		t.Errorf("the new record isn't asked for: %v", out)
+	}
+}
+
+// Symptom: an agent that leaves gets new work again.
+// Sequence: a record of the same incarnation with a higher version and state
+// ready arrives, from a faulty process.
+// Cause: leaving isn't final where records are merged.
+func TestLeavingIsFinalWithinAnIncarnation(t *testing.T) {
+	rec := agentRecord()
+	rec.State = StateLeaving
+	x, m := known(t, rec)
+	back := rec
+	back.State, back.Version = StateReady, 9
+	gossip := &Message{Kind: KindGossip, Records: []Record{back}, Deltas: []Delta{{
+		Addr: rec.Addr, Incarnation: shortIncarnation(rec.Incarnation), Version: 9, State: StateReady,
+	}}}
+	m.Receive(x.now, addrOf(RoleBalancer, 1), gossip)
+	if got, _ := m.Lookup(rec.Addr); got.State != StateLeaving {
+		t.Errorf("leaving became %v", got.State)
+	}
+	back.Incarnation++
+	m.Receive(x.now, addrOf(RoleBalancer, 1), &Message{Kind: KindGossip, Records: []Record{back}})
+	if got, _ := m.Lookup(rec.Addr); got.State != StateReady {
+		t.Errorf("a newer incarnation is %v, want ready", got.State)
+	}
+}
+
+// Symptom: dead processes are never forgotten, each comparison brings them
+// back.
+// Sequence: one balancer has forgotten a dead record, another still has it.
+// Cause: the difference counts as one that repair has to mend.
+func TestForgottenDeadStayForgotten(t *testing.T) {
+	rec := agentRecord()
+	x, m := known(t, rec)
+	gone := rec
+	gone.Verdict = VerdictDead
+	m.Receive(x.now, addrOf(RoleBalancer, 1), &Message{Kind: KindGossip, Records: []Record{gone}})
+	for end := x.now.Add(25 * time.Hour); x.now.Before(end); x.now = x.now.Add(time.Minute) {
+		m.Tick(x.now)
+	}
+	if _, ok := m.Lookup(rec.Addr); ok {
+		t.Fatal("a dead record is still there after 25 h")
+	}
+	m.Outbox()
+	summary := &Message{Kind: KindSummary, Buckets: []uint16{uint16(bucketOf(keyOf(rec.Addr)))}}
+	summary.Peers = append(summary.Peers, rec.Addr)
+	summary.Hashes = make([]byte, hashLen) // what a dead record looks like
+	m.Receive(x.now, addrOf(RoleBalancer, 1), summary)
+	for _, e := range m.Outbox() {
+		t.Errorf("a forgotten dead record is answered with %+v", e.Msg)
+	}
+}
+
+// Symptom: a region that only one other can't reach gets no work from any.
+// Sequence: regions 0 and 1 lose each other; region 2 reaches both.
+// Cause: what one region sees of a zone is taken over by another.
+func TestRegionsJudgeZonesForThemselves(t *testing.T) {
+	x, list, _ := region(t, 11, 9, 6, 2)
+	x.cut = func(from, to *proc) bool {
+		a, b := from.rec.Region, to.rec.Region
+		return a == "region-0" && b == "region-1" || a == "region-1" && b == "region-0"
+	}
+	l := watchLoss(x)
+	x.run(2*time.Minute, nil)
+	cut := 0
+	for _, p := range list {
+		if p.rec.Region == "region-2" && l.down[p] {
+			t.Errorf("%v of region 2 takes a zone for lost", p.rec.Addr)
+		}
+		if l.down[p] {
+			cut++
+		}
+	}
+	t.Logf("%d of %d balancers take a zone for lost, %d verdicts on single records", cut, len(list), l.verdicts)
+	if cut == 0 {
+		t.Error("regions 0 and 1 don't notice that they lost each other")
+	}
+}
