Find the best concurrency by the rate of answers

Change: climber measures the rate of answers while requests wait, in epochs of 200 answers, tries the level below and above in turn every 8 epochs, and keeps the better one. Latency isn't used: it can't tell a large request from an overloaded backend server.

Not seen red by a test, only by the measurement: limiter ignoring the climber.

--- /dev/null
+++ b/admission/climb_test.go
@@ -0,0 +1,53 @@
+package admission
+
+import (
+	"testing"
+	"time"
+)
+
+// climbOn feeds c with answers at the rates that a backend server gives by
+// level, for d.
+func climbOn(c *climber, now time.Time, d time.Duration, rates map[int]float64) time.Time {
+	for end := now.Add(d); now.Before(end); {
+		now = now.Add(time.Duration(float64(time.Second) / rates[c.limit()]))
+		c.answer(now)
+	}
+	return now
+}
+
+// Symptom: the backend server answers half as many requests as it could.
+// Sequence: it slows down when it works on more than 3, without a 503.
+// Cause: all 5 slots are used, and latency doesn't tell.
+func TestClimberFindsTheBestLevel(t *testing.T) {
+	var c climber
+	c.reset(5)
+	thrashing := map[int]float64{1: 50, 2: 100, 3: 150, 4: 115, 5: 90}
+	now := climbOn(&c, t0, 2*time.Minute, thrashing)
+	if c.level != 3 {
+		t.Fatalf("level %d, want 3", c.level)
+	}
+	healthy := map[int]float64{1: 50, 2: 100, 3: 150, 4: 200, 5: 250}
+	climbOn(&c, now, 2*time.Minute, healthy)
+	if c.level != 5 {
+		t.Fatalf("level %d after recovery, want 5", c.level)
+	}
+}
+
+// Symptom: the limit falls while a backend server is merely slow.
+// Sequence: it gets five times slower, whatever the number at work.
+// Cause: the slower epoch is taken for a sign of overload.
+func TestClimberStaysWhileBackendIsSlow(t *testing.T) {
+	var c climber
+	c.reset(5)
+	healthy := map[int]float64{1: 50, 2: 100, 3: 150, 4: 200, 5: 250}
+	slow := map[int]float64{1: 10, 2: 20, 3: 30, 4: 40, 5: 50}
+	now := climbOn(&c, t0, time.Minute, healthy)
+	now = climbOn(&c, now, 2*time.Minute, slow)
+	if c.level != 5 {
+		t.Fatalf("level %d in the slow phase, want 5", c.level)
+	}
+	climbOn(&c, now, 2*time.Minute, healthy)
+	if c.level != 5 {
+		t.Fatalf("level %d after the slow phase, want 5", c.level)
+	}
+}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -50,6 +50,9 @@
 	grown := c.cfg.Slots > c.lim.max
 	c.lim.max = c.cfg.Slots
 	c.lim.warmup = c.cfg.Warmup
+	if c.lim.climb.max != c.cfg.Slots {
+		c.lim.climb.reset(c.cfg.Slots)
+	}
 	if grown || c.lim.cur > float64(c.lim.max) {
 		c.lim.cur = float64(c.lim.max)
 	}
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -22,13 +22,15 @@
 	cur    float64       // 1 ≤ cur ≤ max
 	cutAt  time.Time     // time of the last decrease
 
+	climb climber
+
 	holdUntil time.Time     // no increase before
 	hold      time.Duration // length of the last hold
 }
 
 // limit is the number of requests that may be at work at now.
 func (l *limiter) limit(now time.Time) int {
-	n := int(l.cur)
+	n := min(int(l.cur), l.climb.limit())
 	if l.warmup > 0 {
 		ramp := 1 + int(float64(l.max)*now.Sub(l.since).Seconds()/l.warmup.Seconds())
 		n = min(n, ramp)
--- a/admission/measure_test.go
+++ b/admission/measure_test.go
@@ -120,9 +120,15 @@
 		for _, c := range policies(1)[:2] {
 			m := newModel(1, c.p)
 			m.capacity, m.thrash = 3, thrash
-			m.arrive("a", 2*full*3/5, modelTime)
-			m.run(modelTime)
-			fmt.Printf("thrash %.1f %-16s %.3f\n", thrash, c.name, float64(m.total())/(full*3/5)/modelTime.Seconds())
+			const long = 4 * modelTime
+			m.arrive("a", 2*full*3/5, long)
+			m.run(long)
+			last := 0
+			for s := 90; s < 120; s++ {
+				last += m.goodAt[s]
+			}
+			fmt.Printf("thrash %.1f %-16s %.3f, in the last 30 s of 120 %.3f\n", thrash, c.name,
+				float64(m.total())/(full*3/5)/long.Seconds(), float64(last)/(full*3/5)/30)
 		}
 	}
 	fmt.Println("\nbackend server that answers 503 above 3 at work, load 2 of 3 slots: goodput / its capacity, 503s per answer")
--- a/admission/schedule.go
+++ b/admission/schedule.go
@@ -129,6 +129,11 @@
 		if busy { // a limit that isn't in use says nothing about a higher one
 			c.lim.increase(now)
 		}
+		if busy && c.queued > 0 {
+			c.lim.climb.answer(now)
+		} else {
+			c.lim.climb.idle()
+		}
 	case TimedOut:
 		c.service[kind(f.long)].add(held)
 		c.lim.decrease(now, f.started)
