--- a/admission/climb_test.go
+++ b/admission/climb_test.go
@@ -41,7 +41,13 @@
 	c.reset(5)
 	healthy := map[int]float64{1: 50, 2: 100, 3: 150, 4: 200, 5: 250}
 	slow := map[int]float64{1: 10, 2: 20, 3: 30, 4: 40, 5: 50}
-	now := climbOn(&c, t0, time.Minute, healthy)
+	now := t0
+	for range 60 {
+		now = climbOn(&c, now, time.Second, healthy)
+		if c.level != 5 {
+			t.Fatalf("level %d of a healthy backend server, want 5", c.level)
+		}
+	}
 	now = climbOn(&c, now, 2*time.Minute, slow)
 	if c.level != 5 {
 		t.Fatalf("level %d in the slow phase, want 5", c.level)
@@ -51,3 +57,11 @@
 		t.Fatalf("level %d after the slow phase, want 5", c.level)
 	}
 }
+
+func TestLimitFollowsClimber(t *testing.T) {
+	c := New(t0, Config{Slots: 5})
+	c.lim.climb.level = 2
+	if l := c.Load(t0); l.Limit != 2 {
+		t.Fatalf("limit %d, want 2", l.Limit)
+	}
+}
--- a/admission/measure_test.go
+++ b/admission/measure_test.go
@@ -169,6 +169,31 @@
 	}
 }
 
+func TestMeasureLongFlows(t *testing.T) {
+	if !*measure {
+		return
+	}
+	fmt.Println("\nshort requests at load 0.6 and feeds of 10 s opened at 0.2, 50 a second: share of short, of feeds opened in time")
+	for _, hold := range []bool{false, true} {
+		m := newModel(1, newOurs(1))
+		m.holdSlots = hold
+		m.arrive("short", 0.6*full, modelTime)
+		m.arriveFlows("feeds", 0.2*full, modelTime, 10*time.Second)
+		m.run(modelTime)
+		fmt.Printf("slot held to the end %-5v %.3f %.3f\n", hold,
+			float64(m.good["short"])/float64(m.offered["short"]), float64(m.good["feeds"])/float64(m.offered["feeds"]))
+	}
+	fmt.Println("2,000 feeds come back at once, short requests at load 0.6: share of short in the first 2 s, feeds opened, refused")
+	m := newModel(1, newOurs(1))
+	m.returns, m.patience = true, time.Second
+	m.arrive("short", 0.6*full, 2*time.Second)
+	for range 2000 {
+		m.arriveFlows("feeds", 0.0001, 0, time.Hour)
+	}
+	m.run(60 * time.Second)
+	fmt.Printf("%.3f %d %d\n", float64(m.good["short"])/float64(m.offered["short"]), m.good["feeds"], m.refusals)
+}
+
 func TestMeasureRetries(t *testing.T) {
 	if !*measure {
 		return
--- a/admission/model_test.go
+++ b/admission/model_test.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"math/rand/v2"
 	"time"
+
+	"github.com/hemlockscale/hemlockscale/catalogue"
 )
 
 // The model: callers with deadlines, one policy, one backend server that works
@@ -127,7 +129,8 @@
 	attempts int
 	running  bool
 	over     bool
-	left     float64 // work left
+	left     float64       // work left
+	flow     time.Duration // a long flow: how long it goes on after its header
 }
 
 // model is one run.
@@ -154,6 +157,7 @@
 	refusals   int                     // all refusals
 	returnedAt map[int]int             // returning callers, by 100 ms
 	late       int                     // answers that came too late
+	holdSlots  bool                    // long flows hold their slot to their end
 	shed       func(running int) bool  // whether the backend server answers 503
 }
 
@@ -172,6 +176,11 @@
 
 // arrive lets an owner's callers come at rate a second for the time d.
 func (m *model) arrive(owner string, rate float64, d time.Duration) {
+	m.arriveFlows(owner, rate, d, 0)
+}
+
+// arriveFlows is arrive for long flows that go on for the time flow.
+func (m *model) arriveFlows(owner string, rate float64, d, flow time.Duration) {
 	end := t0.Add(d)
 	var next func()
 	next = func() {
@@ -179,7 +188,7 @@
 			return
 		}
 		m.offered[owner]++
-		c := &caller{owner: owner, work: m.rng.ExpFloat64() * m.service, deadline: m.now.Add(m.patience)}
+		c := &caller{owner: owner, work: m.rng.ExpFloat64() * m.service, deadline: m.now.Add(m.patience), flow: flow}
 		m.callers = append(m.callers, c)
 		m.attempt(uint64(len(m.callers)-1), c)
 		m.after(time.Duration(m.rng.ExpFloat64()/rate*1e9), next)
@@ -200,7 +209,14 @@
 			}
 		})
 	}
-	m.apply(m.p.offer(m.now, Request{ID: id, Owner: c.owner, Deadline: c.deadline}))
+	m.apply(m.p.offer(m.now, Request{ID: id, Owner: c.owner, Class: c.class(), Deadline: c.deadline}))
+}
+
+func (c *caller) class() catalogue.Class {
+	if c.flow > 0 {
+		return catalogue.ClassStream
+	}
+	return catalogue.ClassInteractive
 }
 
 // apply starts and refuses.
@@ -282,10 +298,23 @@
 	} else {
 		m.late++
 	}
-	m.apply(m.p.done(m.now, id, r))
+	if c.flow > 0 && r.Outcome == OK {
+		m.opened(id, c, r)
+	} else {
+		m.apply(m.p.done(m.now, id, r))
+	}
 	m.plan()
 }
 
+// opened lets a long flow go on after its header.
+func (m *model) opened(id uint64, c *caller, r Result) {
+	m.after(c.flow, func() { m.apply(m.p.done(m.now, id, r)) })
+	if o, ok := m.p.(ours); ok && !m.holdSlots {
+		o.c.Opened(m.now, id)
+		m.apply(o.drain())
+	}
+}
+
 func (m *model) run(d time.Duration) {
 	var tick func()
 	tick = func() {
