Placement: read the ring's index before its entries

Cause: each probe waited for its own chain of two reads. Change: all index reads first; the weighted search apart from the plain one. The placement of each flow stays the same.

--- a/placement/primary.go
+++ b/placement/primary.go
@@ -84,12 +84,17 @@
 // the packet path can't afford to search the whole ring. A joining agent takes
 // flows, and moves none between others.
 func (t *Table) ring(h uint64, weighted bool) int {
+	var starts [ringProbes]uint32
+	for k := range starts {
+		starts[k] = t.index[probe(h, k)>>t.shift] // reads that don't wait for each other
+	}
 	best, bestGap := None, uint64(math.MaxUint64)
-	probe := h
-	for range ringProbes {
-		probe += golden
-		p := mix(probe)
-		i := t.successor(p, h, weighted)
+	for k, start := range starts {
+		p := probe(h, k)
+		i := t.successor(p, int(start))
+		if weighted {
+			i = t.participant(i, h)
+		}
 		if i == None {
 			continue
 		}
@@ -100,22 +105,31 @@
 	return best
 }
 
-// successor returns the first agent at or after p, of those that take part for
-// flow h if weighted.
-func (t *Table) successor(p, h uint64, weighted bool) int {
-	n := len(t.entries)
-	i := int(t.index[p>>t.shift])
-	for i < n && t.entries[i].hash < p {
-		i++
+// probe returns the k-th place on the ring that flow h tries.
+func probe(h uint64, k int) uint64 {
+	return mix(h + uint64(k+1)*golden)
+}
+
+// successor returns the first agent at or after p, searching from start.
+func (t *Table) successor(p uint64, start int) int {
+	for i := start; i < len(t.entries); i++ {
+		if t.entries[i].hash >= p {
+			return i
+		}
 	}
+	return 0
+}
+
+// participant returns the first agent from i on that takes part for flow h.
+func (t *Table) participant(i int, h uint64) int {
 	for range ringSkips {
-		if i == n {
-			i = 0
-		}
-		if !weighted || t.takesPart(i, h) {
+		if t.takesPart(i, h) {
 			return i
 		}
 		i++
+		if i == len(t.entries) {
+			i = 0
+		}
 	}
 	return None
 }
