--- a/cmd/hemlock-lab/main.go
+++ b/cmd/hemlock-lab/main.go
@@ -184,7 +184,7 @@
 }
 
 var columns = []string{"case", "policy", "flows", "max/mean", "10s", "busy", "wait p50 ms", "wait p99 ms",
-	"slowed", "refused %", "cross-zone %", "handed on %", "split %", "lost %", "broken"}
+	"slowed", "refused %", "failed %", "cross-zone %", "handed on %", "split %", "lost %", "broken"}
 
 func (j *job) row() []string {
 	r := &j.result
@@ -192,7 +192,7 @@
 		j.c.Name, r.Policy, strconv.FormatUint(r.Flows, 10),
 		ratio(r.Whole), ratio(r.Window), ratio(r.Instant),
 		millis(r.WaitP50), millis(r.WaitP99),
-		ratio(r.Slowed), percent(r.Refused), percent(r.CrossZone), percent(r.HandedOn), percent(r.Split), percent(r.Lost),
+		ratio(r.Slowed), percent(r.Refused), percent(r.Failed), percent(r.CrossZone), percent(r.HandedOn), percent(r.Split), percent(r.Lost),
 		strconv.FormatUint(r.Broken, 10),
 	}
 }
--- a/placement/lab/case.go
+++ b/placement/lab/case.go
@@ -22,6 +22,7 @@
 	Lying       int           // load endpoints that always answer 0
 	Slow        int           // backend servers that take SlowFactor as long
 	SlowFactor  float64
+	Failing     int           // backend servers whose requests fail at once
 	Cold        int           // backend servers that start cold at ColdAt
 	ColdAt      time.Duration //
 	ColdFor     time.Duration // until they run at full speed
--- a/placement/lab/cases.go
+++ b/placement/lab/cases.go
@@ -21,6 +21,7 @@
 	add("load-0.95", func(c *Case) { c.Load = 0.95 })
 	add("short-0.80", func(c *Case) { c.Tail = Short })
 	add("slow-one", func(c *Case) { c.Slow, c.Load = 1, 0.6 })
+	add("failing-one", func(c *Case) { c.Failing, c.Load = 1, 0.6 })
 	add("cold-start", func(c *Case) {
 		c.Cold, c.ColdAt, c.ColdFor = max(1, n/7), duration/4, 30*time.Second
 		c.Load = 0.8 * float64(n-c.Cold) / float64(n)
--- a/placement/lab/model.go
+++ b/placement/lab/model.go
@@ -11,6 +11,7 @@
 	repeatAfter = time.Second
 	twoPackets  = 0.5 // share of handshakes with a second Initial
 	rampSteps   = 4
+	failFactor  = 0.02 // of the service time, until a failing server answers
 )
 
 // model is one run of a case under one policy.
@@ -65,6 +66,9 @@
 		if i < c.Slow {
 			s.slow = c.SlowFactor
 		}
+		if i < c.Failing {
+			s.slow, s.fails = failFactor, true
+		}
 		if i >= c.Agents-c.Cold {
 			s.alive, s.cold, s.joined = false, true, c.ColdAt
 		}
@@ -206,7 +210,7 @@
 func (m *model) work(id int32, wait time.Duration) {
 	f := &m.flows[id]
 	factor := m.servers[f.server].factor(&m.c, m.now)
-	m.stats.wait(m, wait, factor)
+	m.stats.wait(m, wait, factor, m.servers[f.server].fails)
 	length := time.Duration(float64(f.service(m.c.Tail)) * factor)
 	m.events.push(event{at: m.now + length, kind: finish, id: id})
 }
@@ -219,6 +223,7 @@
 	}
 	s.settle(m.now)
 	s.busy--
+	m.policy.done(m, int(m.flows[id].server))
 	if len(s.queue) > 0 {
 		w := s.queue[0]
 		s.queue = s.queue[1:]
--- a/placement/lab/placed.go
+++ b/placement/lab/placed.go
@@ -94,6 +94,10 @@
 	p.loads[b].Report(agentAddr(agent), p.occupancy(m, agent), p.start.Add(m.now))
 }
 
+func (p *placed) done(m *model, agent int) {
+	p.meters[agent].Done(p.start.Add(m.now), m.servers[agent].fails)
+}
+
 func (p *placed) occupancy(m *model, i int) placement.Occupancy {
 	s := &m.servers[i]
 	return p.meters[i].Occupancy(p.start.Add(m.now), placement.Usage{
--- a/placement/lab/policy.go
+++ b/placement/lab/policy.go
@@ -16,6 +16,8 @@
 	wantsReports() bool
 	// report tells balancer b the occupancy of an agent.
 	report(m *model, b, agent int)
+	// done tells that an agent's backend server has ended a request.
+	done(m *model, agent int)
 	// roster is called when the members have changed.
 	roster(m *model)
 }
@@ -65,6 +67,7 @@
 
 func (p *baseline) wantsReports() bool      { return false }
 func (p *baseline) report(*model, int, int) {}
+func (p *baseline) done(*model, int)        {}
 func (p *baseline) roster(*model)           {}
 
 // known tells whether balancer b's roster names agent i.
--- a/placement/lab/result.go
+++ b/placement/lab/result.go
@@ -13,6 +13,7 @@
 	WaitP99   time.Duration
 	Slowed    float64 // mean factor of slow and cold servers on service times
 	Refused   float64 // share of requests
+	Failed    float64 // share of requests that met a failing server
 	CrossZone float64 // share of flows whose balancer is in another zone
 	HandedOn  float64 // share of flows that the first agent passed on
 	Split     float64 // share of handshakes whose Initials met two agents
@@ -32,6 +33,7 @@
 		WaitP99:   quantile(s, 99),
 		Slowed:    s.factors.value(),
 		Refused:   share(s.refused, s.requests),
+		Failed:    share(s.failed, s.requests),
 		CrossZone: share(s.crossZone, s.flows),
 		HandedOn:  share(s.handedOn, s.flows),
 		Split:     share(s.split, s.flows),
@@ -63,6 +65,7 @@
 		sum.WaitP99 += r.WaitP99
 		sum.Slowed += r.Slowed
 		sum.Refused += r.Refused
+		sum.Failed += r.Failed
 		sum.CrossZone += r.CrossZone
 		sum.HandedOn += r.HandedOn
 		sum.Split += r.Split
@@ -75,7 +78,7 @@
 	sum.WaitP50 /= time.Duration(n)
 	sum.WaitP99 /= time.Duration(n)
 	for _, x := range []*float64{
-		&sum.Whole, &sum.Window, &sum.Instant, &sum.Slowed, &sum.Refused,
+		&sum.Whole, &sum.Window, &sum.Instant, &sum.Slowed, &sum.Refused, &sum.Failed,
 		&sum.CrossZone, &sum.HandedOn, &sum.Split, &sum.Lost,
 	} {
 		*x /= float64(n)
--- a/placement/lab/server.go
+++ b/placement/lab/server.go
@@ -9,6 +9,7 @@
 	joined time.Duration // when it began to take flows
 	cold   bool          // starts cold at joined
 	slow   float64       // factor on service times
+	fails  bool          // requests fail at once
 
 	busy  int
 	conns int
--- a/placement/lab/stats.go
+++ b/placement/lab/stats.go
@@ -9,7 +9,7 @@
 // stats adds up one run.
 type stats struct {
 	flows, crossZone, split, handedOn, lost uint64
-	requests, refused, broken               uint64
+	requests, refused, failed, broken       uint64
 	waits                                   *hdrhistogram.Histogram
 	windows, instants, factors              mean
 }
@@ -59,8 +59,11 @@
 	}
 }
 
-func (s *stats) wait(m *model, d time.Duration, factor float64) {
+func (s *stats) wait(m *model, d time.Duration, factor float64, failed bool) {
 	if m.now >= m.c.Warmup {
+		if failed {
+			s.failed++
+		}
 		s.factors.add(factor)
 		s.requests++
 		s.waits.RecordValue(d.Microseconds() + 1)
--- a/placement/occupancy_test.go
+++ b/placement/occupancy_test.go
@@ -52,3 +52,22 @@
 		t.Errorf("in a pause %d, later %d, idle %d, busy %d", pause, later, idle.Occupancy(), busy.Occupancy())
 	}
 }
+
+// Symptom: most requests of a service fail although one backend server of seven
+// is broken. Sequence: its requests fail at once, its slots are always free,
+// every balancer names it and every primary hands on to it. Cause: a load that
+// counts work and not outcomes.
+func TestFailingAgentLooksBusyUntilForgotten(t *testing.T) {
+	idle := Usage{Slots: 5, MaxConnections: 2000}
+	var m Meter
+	for range 100 {
+		m.Done(testStart, true)
+	}
+	failing := m.Occupancy(testStart, idle)
+	if full := (Usage{SlotsBusy: 5, Slots: 5, MaxConnections: 2000}).Occupancy(); failing <= full || failing == Full {
+		t.Errorf("failing %d, all slots busy %d", failing, full)
+	}
+	if later := m.Occupancy(testStart.Add(time.Minute), idle); later > 1 {
+		t.Errorf("a minute later: %d", later)
+	}
+}
