--- a/membership/message.go
+++ b/membership/message.go
@@ -22,7 +22,7 @@
 	KindAnnounce  Kind = 1  // subject to observer: Records[0], Hash of its observers
 	KindHeartbeat Kind = 2  // subject to observer: Incarnation, Version, Hash of its observers
 	KindAck       Kind = 3  // observer to subject: Incarnation, Version, Flags, Entry, Peers
-	KindGossip    Kind = 4  // balancer to balancer: Records, Zones
+	KindGossip    Kind = 4  // balancer to balancer: Records, Deltas, Zones
 	KindDoubt     Kind = 5  // observer to observer: Peers[0] is silent here, Incarnation
 	KindOpinion   Kind = 6  // answer to KindDoubt: Peers[0], Incarnation, Flags
 	KindRoot      Kind = 7  // digest of the whole roster: Hash, Count
@@ -59,6 +59,7 @@
 	Records     []Record         `cbor:"11,keyasint,omitempty"`
 	Zones       []ZoneFact       `cbor:"12,keyasint,omitempty"`
 	Buckets     []uint16         `cbor:"13,keyasint,omitempty"`
+	Deltas      []Delta          `cbor:"14,keyasint,omitempty"`
 }
 
 // Envelope is a message and the process it goes to. Several envelopes may
@@ -68,22 +69,47 @@
 	Msg *Message
 }
 
-// Upper bounds of encoded sizes in bytes.
+// Encoded sizes in bytes.
 const (
-	sizeHead    = 48 // all scalar fields of a Message with their keys, lists empty
+	sizeHead    = 60 // upper bound of a Message whose lists are empty
+	sizeTypical = 16 // a Message with the few scalars that its kind uses
 	sizePeer    = 7
 	sizeBucket  = 3
 	sizeWitness = 9
-	sizeFixed   = 46 // a Record without its labels
-	sizeFact    = 24 // a ZoneFact without its labels and witnesses
-	sizeTypical = 16 // a Message with the few scalars that its kind uses
+	sizeFact    = 12 // upper bound of a ZoneFact without its labels and witnesses
 	sizeOnWire  = 60 // seal, UDP and IP headers, counted against the byte rate
+	sizeRecord  = 11 // the parts of a Record that always take the same
+	maxRecord   = 50 + 2*MaxLabel
 )
 
-func (r *Record) size() int { return sizeFixed + len(r.Zone) + len(r.Region) }
+// sizeUint returns the encoded size of v.
+func sizeUint(v uint64) int {
+	switch {
+	case v < 24:
+		return 1
+	case v < 1<<8:
+		return 2
+	case v < 1<<16:
+		return 3
+	case v < 1<<32:
+		return 5
+	}
+	return 9
+}
+
+func sizeText(s string) int { return sizeUint(uint64(len(s))) + len(s) }
+
+// size returns the encoded size of r.
+func (r *Record) size() int {
+	n := sizeRecord + sizeUint(uint64(r.Weight)) + sizeUint(uint64(r.Service))
+	n += sizeUint(r.Incarnation) + sizeUint(uint64(r.Version))
+	n += sizeUint(uint64(r.Bulk)) + sizeUint(uint64(r.Admin))
+	return n + sizeText(r.Zone) + sizeText(r.Region)
+}
 
 func (f *ZoneFact) size() int {
-	return sizeFact + len(f.Zone) + len(f.Viewer) + sizeWitness*len(f.Witnesses)
+	n := sizeFact + sizeText(f.Zone) + sizeText(f.Region) + sizeText(f.Viewer)
+	return n + sizeWitness*len(f.Witnesses)
 }
 
 // size returns an upper bound of the encoded size of m.
@@ -92,6 +118,9 @@
 	for i := range m.Records {
 		n += m.Records[i].size()
 	}
+	for i := range m.Deltas {
+		n += m.Deltas[i].size()
+	}
 	for i := range m.Zones {
 		n += m.Zones[i].size()
 	}
@@ -151,6 +180,11 @@
 			return nil, &MessageError{"peer without IPv4 address", "count and drop the datagram"}
 		}
 	}
+	for i := range m.Deltas {
+		if err := m.Deltas[i].check(); err != nil {
+			return nil, err
+		}
+	}
 	for i := range m.Zones {
 		if err := m.Zones[i].check(); err != nil {
 			return nil, err
--- a/membership/watch.go
+++ b/membership/watch.go
@@ -33,7 +33,8 @@
 	version   uint32    // that the verdict holds for
 	agree     [observers]key
 	agreed    int
-	alone     int // factor of AloneAfter
+	skipped   bool // the last heartbeat got no ack
+	alone     int  // factor of AloneAfter
 	gen       uint64
 	rank      top
 }
@@ -201,7 +202,7 @@
 // foldable tells that the silence of c and of its observers is judged as that
 // of its whole zone: this balancer sits outside, and the zone is not small.
 func (m *Machine) foldable(c *cell) bool {
-	return c.zone != m.zone && len(m.roster.live[c.zone]) >= foldBalancers
+	return c.zone != m.zone && len(m.roster.live[c.zone]) >= foldBalancers && !m.view(c.zone).partial
 }
 
 func (m *Machine) suspect(now time.Time, w *watch, c *cell) {
@@ -263,40 +264,3 @@
 		w.agreed++
 	}
 }
-
-// audit starts watches for processes that should report here but never did.
-// Without it, a process that dies together with all its observers would stay
-// alive in every roster: nobody else would notice its silence.
-func (m *Machine) audit(now time.Time) {
-	cells := m.roster.cells
-	for n := len(cells)/auditSweep + 1; n > 0; n-- {
-		m.auditAt++
-		if m.auditAt >= len(cells) {
-			m.auditAt = 0
-		}
-		c := &cells[m.auditAt]
-		if c.key == 0 || c.key == m.selfKey || c.verdict == VerdictDead || !m.mayObserve(c) {
-			continue
-		}
-		if _, ok := m.watchOf[c.key]; ok {
-			continue
-		}
-		t := m.roster.rank(c.key, c.role, c.zone)
-		if contains(t.list(), m.selfKey) {
-			m.watchFor(now, c.key)
-		}
-	}
-}
-
-// mayObserve is a cheap first test of whether this balancer can be among the
-// observers of c.
-func (m *Machine) mayObserve(c *cell) bool {
-	if c.zone == m.zone || len(m.roster.live[c.zone]) <= observers {
-		return true
-	}
-	if c.role == RoleAgent {
-		return false
-	}
-	z, ok := m.roster.farZone(c.key, c.zone)
-	return ok && z == m.zone
-}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -239,14 +239,20 @@
 // StartAgent starts one more agent of a service, with a backend server.
 func (f *Fleet) StartAgent(s Service) *Agent {
 	f.T.Helper()
-	i := len(f.Agents)
 	f.Agents = append(f.Agents, nil)
-	f.startAgent(s, i)
-	return f.Agents[i]
+	return f.startAgent(s, len(f.Agents)-1)
 }
 
-// startAgent starts the i-th agent.
-func (f *Fleet) startAgent(s Service, i int) {
+// StartAgentBySlots is StartAgent for an agent that knows balancers from the
+// contact slots in the store alone.
+func (f *Fleet) StartAgentBySlots(s Service) *Agent {
+	f.T.Helper()
+	f.Agents = append(f.Agents, nil)
+	return f.startAgent(s, len(f.Agents)-1, "HEMLOCK_AGENT_BALANCERS")
+}
+
+// startAgent starts the i-th agent without the settings named in without.
+func (f *Fleet) startAgent(s Service, i int, without ...string) *Agent {
 	f.T.Helper()
 	slots := s.Limits.Slots
 	if slots == 0 {
@@ -270,6 +276,7 @@
 	a.env = map[string]string{
 		"HEMLOCK_AGENT_INTERNAL":         a.Internal.String(),
 		"HEMLOCK_AGENT_BALANCERS":        f.seeds(),
+		"HEMLOCK_AGENT_STORE":            f.StoreURL,
 		"HEMLOCK_AGENT_FLEET_KEY":        f.fleetKey,
 		"HEMLOCK_AGENT_BACKEND":          "http://" + server.Addr(),
 		"HEMLOCK_AGENT_SERVICE":          s.Name,
@@ -282,8 +289,12 @@
 		"HEMLOCK_AGENT_REPEAT_SKEW":      "500ms",
 		"HEMLOCK_AGENT_REPEAT_FRESHNESS": "1s",
 	}
+	for _, name := range without {
+		delete(a.env, name)
+	}
 	a.Process = StartProcess(f.T, fmt.Sprintf("agent-%d-%s", i, s.Name), "hemlock-agent", a.env)
 	f.Agents[i] = a
+	return a
 }
 
 // Restart starts the agent's process again at the same addresses.
@@ -296,9 +307,7 @@
 // ended, and puts it in old's place.
 func (f *Fleet) StartAgentAt(s Service, old *Agent) *Agent {
 	f.T.Helper()
-	at := slices.Index(f.Agents, old)
-	f.startAgent(s, at)
-	return f.Agents[at]
+	return f.startAgent(s, slices.Index(f.Agents, old))
 }
 
 // Caller returns a caller of a service. It is closed at the end of the test.
--- a/test/survive_test.go
+++ b/test/survive_test.go
@@ -22,7 +22,7 @@
 func TestFlowsSurviveBalancerKill(t *testing.T) {
 	t.Parallel()
 	f := fleet.Start(t, kanatpar())
-	l := openFlows(t, f, flowsOfEach, 4*time.Second)
+	l := openFlows(t, f, 2*flowsOfEach, 4*time.Second)
 	f.Balancers[1].Kill()
 	l.wait()
 }
