--- a/internal/balancer/dataplane.go
+++ b/internal/balancer/dataplane.go
@@ -54,17 +54,25 @@
 	r := udp.NewReader(d.public)
 	w := udp.NewWriter(d.internal)
 	for {
-		n, err := r.Read()
-		if err != nil {
+		if _, err := d.inwardBatch(r, w); err != nil {
 			return udp.IgnoreClosed(err)
 		}
-		for i := range n {
-			d.forward(r, w, i)
-		}
-		d.metrics.sendErrors.Add(float64(w.Flush()))
 	}
 }
 
+// inwardBatch carries one batch of caller packets and returns its length.
+func (d *dataplane) inwardBatch(r *udp.Reader, w *udp.Writer) (n int, err error) {
+	n, err = r.Read()
+	if err != nil {
+		return 0, err
+	}
+	for i := range n {
+		d.forward(r, w, i)
+	}
+	d.metrics.sendErrors.Add(float64(w.Flush()))
+	return n, nil
+}
+
 func (d *dataplane) forward(r *udp.Reader, w *udp.Writer, i int) {
 	address, ok := r.Destination(i)
 	if !ok || r.Truncated(i) {
--- /dev/null
+++ b/internal/balancer/forward_bench_test.go
@@ -0,0 +1,175 @@
+package balancer
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/connid"
+	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+	"github.com/hemlockscale/hemlockscale/internal/frame"
+	"github.com/hemlockscale/hemlockscale/internal/quicwire"
+	"github.com/hemlockscale/hemlockscale/placement"
+)
+
+const (
+	benchService = 1
+	benchKey     = "1:000102030405060708090a0b0c0d0e0f"
+	// idOffset is where a long header's destination connection ID begins.
+	idOffset = 6
+)
+
+var (
+	benchAddress = [4]byte{127, 0, 0, 1}
+	benchCaller  = netip.MustParseAddrPort("127.0.0.1:40000")
+)
+
+// benchForwarder returns a forwarder over the types that the daemon uses, for
+// one service with the agents given. Every agent has been heard from.
+func benchForwarder(tb testing.TB, agents []netip.AddrPort) (*Forwarder, fleetkey.Ring) {
+	tb.Helper()
+	ring := benchRing(tb)
+	a := &addresses{}
+	a.table.Store(benchTable(tb))
+	p := newPlaces("zone-a")
+	p.load = placement.NewLoad(2*len(agents), placement.LoadOptions{})
+	var placed []placement.Agent
+	for _, addr := range agents {
+		placed = append(placed, placement.Agent{Addr: addr, Zone: "zone-a", Weight: placement.FullWeight})
+	}
+	table, err := placement.NewTable(p.cfg, placed)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	p.tables.Set(benchService, table)
+	f, err := NewForwarder(ring, a, p, netip.MustParseAddrPort("127.0.0.1:7700"))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	for i, addr := range agents {
+		f.peers.saw(addr, uint32(i))
+		p.Observe(benchService, addr, byte(i%100))
+	}
+	return f, ring
+}
+
+func benchRing(tb testing.TB) fleetkey.Ring {
+	tb.Helper()
+	ring, err := fleetkey.Parse(benchKey)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return ring
+}
+
+// benchTable is a catalogue with one service at benchAddress.
+func benchTable(tb testing.TB) *catalogue.Table {
+	tb.Helper()
+	c := catalogue.New()
+	entry := catalogue.Entry{Service: "listing", Owner: "exchange", Class: catalogue.ClassInteractive, Addresses: []netip.Addr{netip.AddrFrom4(benchAddress)}}
+	changes, err := c.Plan(catalogue.Edit{Editor: "benchmark", Put: []catalogue.Entry{entry}}, catalogue.NewEditID(0), time.Unix(0, 0))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	for _, change := range changes {
+		if err := c.Apply(change); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	t := c.Table()
+	if t.Number(benchAddress) != benchService {
+		tb.Fatal("address not in the table")
+	}
+	return t
+}
+
+func benchAgents(n int) []netip.AddrPort {
+	agents := make([]netip.AddrPort, n)
+	for i := range agents {
+		ip := [4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}
+		agents[i] = netip.AddrPortFrom(netip.AddrFrom4(ip), 7700)
+	}
+	return agents
+}
+
+// shortPacket is a datagram of n bytes of an open connection, with room for
+// the forwarding header before it.
+func shortPacket(tb testing.TB, ring fleetkey.Ring, agent netip.AddrPort, n int) []byte {
+	tb.Helper()
+	ids, err := ring.ConnIDs()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	b := make([]byte, frame.Len+n)
+	b[frame.Len] = 0x40
+	id := ids.Mint(connid.Target{Agent: agent, Service: benchService})
+	copy(b[frame.Len+1:], id[:])
+	return b
+}
+
+// initialPacket is a caller's first datagram, with room before it.
+func initialPacket() []byte {
+	const idLen = 18 // as long as quic-go's longest
+	b := make([]byte, frame.Len+quicwire.MinInitial)
+	p := b[frame.Len:]
+	p[0] = 0xc0
+	binary.BigEndian.PutUint32(p[1:], 1)
+	p[5] = idLen
+	return b
+}
+
+// BenchmarkForward is the forwarding decision for one packet, with the header
+// written: the goal is at most 300 ns and no allocation.
+func BenchmarkForward(b *testing.B) {
+	for _, n := range []int{7, 16000} {
+		agents := benchAgents(n)
+		f, ring := benchForwarder(b, agents)
+		b.Run(fmt.Sprintf("short/agents=%d", n), func(b *testing.B) {
+			const flows = 1024
+			packets := make([][]byte, flows)
+			for i := range packets {
+				packets[i] = shortPacket(b, ring, agents[i%n], 1200)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if _, v := f.Forward(packets[i%flows], benchCaller, benchAddress); v != Forwarded {
+					b.Fatal(v)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("initial/agents=%d", n), func(b *testing.B) {
+			packet := initialPacket()
+			id := packet[frame.Len+idOffset:]
+			b.ReportAllocs()
+			for i := uint64(0); b.Loop(); i++ {
+				binary.BigEndian.PutUint64(id, i)
+				if _, v := f.Forward(packet, benchCaller, benchAddress); v != Forwarded {
+					b.Fatal(v)
+				}
+			}
+		})
+	}
+}
+
+// TestForwardAllocatesNothing: an allocation per packet would show as pauses
+// and processor time of the garbage collector that grow with the packet rate.
+func TestForwardAllocatesNothing(t *testing.T) {
+	agents := benchAgents(7)
+	f, ring := benchForwarder(t, agents)
+	for name, packet := range map[string][]byte{
+		"short":   shortPacket(t, ring, agents[0], 1200),
+		"initial": initialPacket(),
+	} {
+		n := testing.AllocsPerRun(100, func() {
+			if _, v := f.Forward(packet, benchCaller, benchAddress); v != Forwarded {
+				t.Fatal(v)
+			}
+		})
+		if n != 0 {
+			t.Errorf("%s: %v allocations a packet", name, n)
+		}
+	}
+}
