Benchmarks of calls, idempotency keys and memory through the whole path

Cause: no figure compared the path with a direct call, nor told what a flow or a key costs. Change: test/perf (benchmarks only) with hdrhistogram; the baseline is an ordinary HTTP/3 server with the same agent's handler, run in turns; memory is that of the real processes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -150,14 +150,7 @@
 	// would run twice.
 	os.Setenv(noBufferWarning, "true")
 	tlsConfig := http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{a.cfg.Certificate}})
-	a.ln, err = a.quic.ListenEarly(tlsConfig, &quic.Config{
-		MaxIdleTimeout:          idleTimeout,
-		KeepAlivePeriod:         keepAlive,
-		InitialPacketSize:       packetSize,
-		DisablePathMTUDiscovery: true,
-		MaxIncomingStreams:      streamsPerConnection,
-		Allow0RTT:               false,
-	})
+	a.ln, err = a.quic.ListenEarly(tlsConfig, QUICConfig())
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/agent/serve.go
@@ -0,0 +1,23 @@
+package agent
+
+import (
+	"net/http"
+
+	"github.com/quic-go/quic-go"
+)
+
+// Handler returns what serves the callers' requests, for servers beside the
+// agent's own.
+func (a *Agent) Handler() http.Handler { return a.http.Handler }
+
+// QUICConfig returns the settings of the agent's caller connections.
+func QUICConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:          idleTimeout,
+		KeepAlivePeriod:         keepAlive,
+		InitialPacketSize:       packetSize,
+		DisablePathMTUDiscovery: true,
+		MaxIncomingStreams:      streamsPerConnection,
+		Allow0RTT:               false,
+	}
+}
--- /dev/null
+++ b/test/perf/calls_test.go
@@ -0,0 +1,177 @@
+package perf
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/internal/standin/caller"
+	"github.com/hemlockscale/hemlockscale/internal/standin/deployment"
+)
+
+const (
+	service     = "listing"
+	slots       = 64
+	readyWithin = 30 * time.Second
+	// callsPerTurn is how many calls one way makes before the other one has
+	// its turn.
+	callsPerTurn = 1000
+	maxLatency   = time.Minute
+)
+
+var nets atomic.Uint32
+
+// start starts a deployment of one service.
+func start(b *testing.B, balancers, backends int) *deployment.Deployment {
+	b.Helper()
+	d, err := deployment.Start(deployment.Config{
+		Net:       byte(220 + nets.Add(1)%30),
+		Zones:     []string{"zone-a"},
+		Balancers: balancers,
+		Seed:      1,
+		Services: []deployment.Service{{
+			Name: service, Owner: "exchange", Class: catalogue.ClassInteractive, Backends: backends,
+			Limits: catalogue.Limits{Slots: slots},
+		}},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(d.Close)
+	if err := d.WaitReady(readyWithin); err != nil {
+		b.Fatal(err)
+	}
+	return d
+}
+
+// call makes one call and checks its answer.
+type call func(ctx context.Context, c *caller.Caller, n int) error
+
+// way is one way to make calls, with what it measured.
+type way struct {
+	name    string
+	callers []*caller.Caller
+	call    call
+	latency *hdrhistogram.Histogram // microseconds
+	calls   int
+	took    time.Duration
+}
+
+func newWay(b *testing.B, name string, callers int, c call, open func() (*caller.Caller, error)) *way {
+	b.Helper()
+	w := &way{name: name, call: c, latency: hdrhistogram.New(1, maxLatency.Microseconds(), 3)}
+	for range callers {
+		one, err := open()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(one.Close)
+		w.callers = append(w.callers, one)
+	}
+	return w
+}
+
+// turn makes callsPerTurn calls, each caller its share one after another.
+func (w *way) turn(b *testing.B, record bool) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex // guards w.latency
+	began := time.Now()
+	for _, c := range w.callers {
+		wg.Go(func() {
+			for n := range callsPerTurn / len(w.callers) {
+				at := time.Now()
+				if err := w.call(context.Background(), c, n); err != nil {
+					b.Error(w.name, err)
+					return
+				}
+				took := time.Since(at)
+				if record {
+					mu.Lock()
+					w.latency.RecordValue(took.Microseconds())
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if record {
+		w.took += time.Since(began)
+		w.calls += callsPerTurn / len(w.callers) * len(w.callers)
+	}
+}
+
+func (w *way) rate() float64 { return float64(w.calls) / w.took.Seconds() }
+
+func (w *way) report(b *testing.B) {
+	b.ReportMetric(w.rate(), w.name+"-calls/s")
+	for _, q := range []float64{50, 99, 99.9} {
+		b.ReportMetric(float64(w.latency.ValueAtQuantile(q)), fmt.Sprintf("%s-p%v-us", w.name, q))
+	}
+}
+
+// compare lets two ways make calls in turns; one iteration is one turn of each.
+func compare(b *testing.B, base, other *way) {
+	base.turn(b, false) // opens the connections
+	other.turn(b, false)
+	for b.Loop() {
+		base.turn(b, true)
+		other.turn(b, true)
+	}
+	base.report(b)
+	other.report(b)
+	b.ReportMetric(other.rate()/base.rate(), "ratio")
+}
+
+func card(ctx context.Context, c *caller.Caller, n int) error {
+	a, err := c.Card(ctx, fmt.Sprint(n))
+	return statusError(a, err, http.StatusOK)
+}
+
+func statusError(a *caller.Answer, err error, want int) error {
+	if err == nil && a.Status != want {
+		return fmt.Errorf("status %d: %s", a.Status, a.Body)
+	}
+	return err
+}
+
+// BenchmarkCalls compares calls through fabric, balancers and agent with calls
+// of the same agent's handler on a plain HTTP/3 server.
+func BenchmarkCalls(b *testing.B) {
+	for _, callers := range []int{1, 16} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			d := start(b, 3, 1)
+			server, err := d.Direct(d.Agents[0])
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Cleanup(server.Close)
+			direct := newWay(b, "direct", callers, card, func() (*caller.Caller, error) { return d.CallerTo(service, server.Addr) })
+			path := newWay(b, "path", callers, card, func() (*caller.Caller, error) { return d.Caller(service) })
+			compare(b, direct, path)
+		})
+	}
+}
+
+// BenchmarkIdempotencyKey compares non-idempotent calls without and with a key,
+// for which the service's agents vote before the request runs.
+func BenchmarkIdempotencyKey(b *testing.B) {
+	d := start(b, 3, 3)
+	open := func() (*caller.Caller, error) { return d.Caller(service) }
+	var keys atomic.Uint64
+	plain := newWay(b, "plain", 1, func(ctx context.Context, c *caller.Caller, _ int) error {
+		a, err := c.Do(ctx, http.MethodPost, "/reserve", nil, []byte("part"))
+		return statusError(a, err, http.StatusCreated)
+	}, open)
+	keyed := newWay(b, "keyed", 1, func(ctx context.Context, c *caller.Caller, _ int) error {
+		a, err := c.Reserve(ctx, fmt.Sprint("key-", keys.Add(1)), "part")
+		return statusError(a, err, http.StatusCreated)
+	}, open)
+	compare(b, plain, keyed)
+}
--- /dev/null
+++ b/test/perf/memory_test.go
@@ -0,0 +1,153 @@
+package perf
+
+import (
+	"context"
+	"crypto/tls"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hemlockscale/hemlockscale/catalogue"
+	"github.com/hemlockscale/hemlockscale/test/fleet"
+)
+
+var maxFlows = flag.Int("perf.flows", 10_000, "open flows at one agent in BenchmarkMemory")
+
+const (
+	flowSteps   = 5
+	opening     = 32 // connections opened at once
+	perSocket   = 50 // connections that share one caller socket, for the limit on open files
+	eventPeriod = 10 * time.Second
+	// settle is how long the processes go on before their memory is read.
+	settle = 2 * time.Second
+	idle   = time.Minute
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	fleet.RemoveBinaries()
+	os.Exit(code)
+}
+
+// flows holds open feeds, each on a connection of its own.
+type flows struct {
+	address netip.AddrPort
+	open    int
+	socket  *quic.Transport
+	cleanup func(func())
+}
+
+// next returns the transport that the next connection goes through.
+func (f *flows) next() (*quic.Transport, error) {
+	if f.open%perSocket == 0 {
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			return nil, err
+		}
+		t := &quic.Transport{Conn: c}
+		f.socket = t
+		f.cleanup(func() { t.Close(); c.Close() })
+	}
+	f.open++
+	return f.socket, nil
+}
+
+// grow opens feeds until there are n.
+func (f *flows) grow(n int) error {
+	var g errgroup.Group
+	g.SetLimit(opening)
+	for f.open < n {
+		t, err := f.next()
+		if err != nil {
+			return err
+		}
+		g.Go(func() error { return f.feed(t) })
+	}
+	return g.Wait()
+}
+
+// feed opens one feed and waits for its first bytes.
+func (f *flows) feed(t *quic.Transport) error {
+	h := &http3.Transport{
+		// The certificate is checked by the tests of the path; here it would
+		// only cost time.
+		TLSClientConfig: &tls.Config{ServerName: service, InsecureSkipVerify: true, NextProtos: []string{http3.NextProtoH3}},
+		QUICConfig:      &quic.Config{MaxIdleTimeout: idle},
+		Dial: func(ctx context.Context, _ string, c *tls.Config, q *quic.Config) (*quic.Conn, error) {
+			return t.DialEarly(ctx, net.UDPAddrFromAddrPort(f.address), c, q)
+		},
+	}
+	f.cleanup(func() { h.Close() })
+	url := fmt.Sprintf("https://%s/feed?events=1000000&interval_ms=%d&seed=1", service, eventPeriod.Milliseconds())
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Accept", "text/event-stream")
+	resp, err := h.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("feed: %s", resp.Status)
+	}
+	_, err = io.ReadFull(resp.Body, make([]byte, 1))
+	return err
+}
+
+// BenchmarkMemory measures the resident memory of a balancer's and an agent's
+// process against the number of open flows. Run it with -benchtime 1x.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		f := fleet.Start(b, fleet.Config{Balancers: 2, Seed: 1, Services: []fleet.Service{{
+			Name: service, Owner: "exchange", Class: catalogue.ClassInteractive, Backends: 1,
+			Limits: catalogue.Limits{Connections: *maxFlows + 1000, Deadline: time.Minute},
+		}}})
+		open := &flows{address: netip.AddrPortFrom(f.Addresses[service], f.Fabric.Port()), cleanup: func(end func()) { b.Cleanup(end) }}
+		agent, balancer := f.Agents[0].Admin, f.Balancers[0].Admin
+		idleAgent, idleBalancer := report(b, 0, agent, balancer)
+		var lastAgent, lastBalancer float64
+		for step := 1; step <= flowSteps; step++ {
+			n := *maxFlows * step / flowSteps
+			if err := open.grow(n); err != nil {
+				b.Fatal(err)
+			}
+			lastAgent, lastBalancer = report(b, n, agent, balancer)
+		}
+		b.ReportMetric((lastAgent-idleAgent)/float64(*maxFlows), "agent-B/flow")
+		b.ReportMetric((lastBalancer-idleBalancer)/float64(*maxFlows), "balancer-B/flow")
+	}
+}
+
+func report(b *testing.B, flows int, agent, balancer string) (agentBytes, balancerBytes float64) {
+	b.Helper()
+	<-time.After(settle)
+	connections, _ := fleet.Metric(agent, "hemlock_agent_connections")
+	agentBytes, balancerBytes = resident(b, agent), resident(b, balancer)
+	heap, _ := fleet.Metric(agent, "go_memstats_heap_inuse_bytes")
+	stacks, _ := fleet.Metric(agent, "go_memstats_stack_inuse_bytes")
+	goroutines, _ := fleet.Metric(agent, "go_goroutines")
+	const mb = 1e6
+	b.Logf("%d flows (%v connections): agent %.1f MB (heap %.1f, stacks %.1f, %v goroutines), balancer %.1f MB",
+		flows, connections, agentBytes/mb, heap/mb, stacks/mb, goroutines, balancerBytes/mb)
+	return agentBytes, balancerBytes
+}
+
+func resident(b *testing.B, admin string) float64 {
+	b.Helper()
+	v, ok := fleet.Metric(admin, "process_resident_memory_bytes")
+	if !ok {
+		b.Fatal("no resident memory on the page of metrics")
+	}
+	return v
+}
