Traces: one per call, with a span at caller, balancer, agent and backend server

Cause: nobody could see a call's way through the hops. Change: package internal/tracing (off, stderr, OTLP over HTTP; bounded queue, drops counted). A balancer can't read a first packet and so can't know its call's trace: it marks a share of flows (FlagSampled, chosen by a keyed hash of the caller's first connection ID), holds the span back for 10 s at most, and the agent, which reads the caller's traceparent, claims it for the call's trace by a control message. Unclaimed spans become roots of their own. Seen red: without the agent's claim, TestOneCallIsOneTraceOfFourHops; without the count, TestSlowCollectorDropsAndCounts. Conclusion: four hops in one trace with the caller's span as the parent of the balancer's and the agent's; later calls of a connection link to the balancer's.

--- a/cmd/hemlock-balancer/main.go
+++ b/cmd/hemlock-balancer/main.go
@@ -14,6 +14,7 @@
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
 	"github.com/hemlockscale/hemlockscale/internal/settings"
 	"github.com/hemlockscale/hemlockscale/internal/store"
+	"github.com/hemlockscale/hemlockscale/internal/tracing"
 )
 
 const program = "hemlock-balancer"
@@ -22,6 +23,7 @@
 type config struct {
 	balancer balancer.Config
 	daemon   daemon.Config
+	trace    tracing.Config
 	drain    time.Duration
 }
 
@@ -49,11 +51,15 @@
 	s.DurationVar(&cfg.drain, "drain", 30*time.Second, "limit of a graceful stop")
 	admin := s.String("admin", "127.0.0.1:0", "TCP address of metrics, readiness and status")
 	s.StringVar(&cfg.daemon.Level, "log-level", "info", "debug, info, warn or error")
+	s.StringVar(&cfg.trace.Exporter, "trace", tracing.Off, "where spans go: off, stderr, or the URL of an OTLP collector like http://127.0.0.1:4318")
+	s.Float64Var(&cfg.trace.Sample, "trace-sample", 0.01, "share of flows that is traced, 0 to 1")
 	if err = s.Parse(args); err != nil {
 		return cfg, err
 	}
 	cfg.daemon.Role = "balancer"
+	cfg.trace.Role, cfg.trace.Zone = "balancer", cfg.balancer.Zone
 	return cfg, settings.First(
+		cfg.trace.Check,
 		func() error { return settings.Required("internal", *internal) },
 		func() error { return settings.Required("zone", cfg.balancer.Zone) },
 		func() error { return settings.Required("fleet-key", *key) },
@@ -72,6 +78,12 @@
 	if err != nil {
 		return err
 	}
+	traces, err := tracing.Open(cfg.trace, d.Registry)
+	if err != nil {
+		return err
+	}
+	defer traces.End()
+	cfg.balancer.Traces = traces
 	b, err := balancer.New(cfg.balancer, d.Log, d.Registry)
 	if err != nil {
 		return err
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -30,6 +30,7 @@
 	"github.com/hemlockscale/hemlockscale/internal/control"
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
 	"github.com/hemlockscale/hemlockscale/internal/store"
+	"github.com/hemlockscale/hemlockscale/internal/tracing"
 	"github.com/hemlockscale/hemlockscale/internal/udp"
 	"github.com/hemlockscale/hemlockscale/placement"
 )
@@ -72,6 +73,7 @@
 	Store       store.Interface  // the platform's store, to read contact slots; may be nil if Seeds are given
 	Ramp        placement.Ramp   // cold start of the backend server
 	Repeats     idempotency.Config
+	Traces      *tracing.Provider // nil is off
 }
 
 // Agent is one agent. Its lifecycle is New, Run, Drain, Close.
@@ -139,6 +141,11 @@
 	if a.conn, err = newPacketConn(a.cfg.Keys, a.socket, a.flows, a.metrics); err != nil {
 		return err
 	}
+	marks, err := newFlowMarks(a.cfg.Traces, a.cfg.Keys, a.claims.link)
+	if err != nil {
+		return err
+	}
+	a.conn.marks = marks
 	reset := quic.StatelessResetKey(a.cfg.Keys[0].Derive("stateless reset", 32))
 	token := quic.TokenGeneratorKey(a.cfg.Keys[0].Derive("address token", 32))
 	a.quic = &quic.Transport{
@@ -157,7 +164,7 @@
 		return err
 	}
 	a.http = &http3.Server{
-		Handler:     &handler{entry: &a.entry, gate: a.gate, backend: a.backend, claims: a.claims, metrics: a.metrics},
+		Handler:     marks.wrap(&handler{entry: &a.entry, gate: a.gate, backend: a.backend, claims: a.claims, metrics: a.metrics}),
 		ConnContext: a.connContext,
 	}
 	return nil
@@ -172,7 +179,7 @@
 		a.gate.do(func(g *admission.Controller, now time.Time) { g.CloseConn(now, name) })
 		a.metrics.connections.Dec()
 	})
-	return ctx
+	return a.conn.marks.connected(ctx, c.RemoteAddr())
 }
 
 // setEntry puts the service's catalogue entry in force.
--- a/internal/agent/packetconn.go
+++ b/internal/agent/packetconn.go
@@ -46,6 +46,7 @@
 	policy  firstPacketPolicy
 	service atomic.Uint32 // 0 until the catalogue entry is known
 	metrics *metrics
+	marks   *flowMarks // nil when tracing is off
 
 	in      *frame.Codec // of the receive duty
 	data    chan arrival
@@ -136,6 +137,7 @@
 			return
 		}
 	}
+	c.marks.note(h, packet, now)
 	c.deliver(packet, c.paths.heard(h, now))
 }
 
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -19,6 +19,7 @@
 	"github.com/hemlockscale/hemlockscale/internal/bulk"
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
 	"github.com/hemlockscale/hemlockscale/internal/store"
+	"github.com/hemlockscale/hemlockscale/internal/tracing"
 	"github.com/hemlockscale/hemlockscale/internal/udp"
 	"github.com/hemlockscale/hemlockscale/membership"
 )
@@ -36,6 +37,7 @@
 	// Retention is how long agents that vanished are named to those that ask
 	// who votes on idempotency keys; 0 is idempotency.DefaultRetention.
 	Retention time.Duration
+	Traces    *tracing.Provider // nil is off
 }
 
 // Balancer is one balancer. Its lifecycle is New, Run, Drain, Close.
@@ -50,6 +52,7 @@
 	digest   atomic.Pointer[catalogue.Digest] // of the catalogue in force, nil for none
 	bulk     *bulk.Port
 	metrics  *metrics
+	reg      prometheus.Registerer
 	control  *duty
 
 	agentsReady atomic.Int64
@@ -79,6 +82,7 @@
 		places:   newPlaces(cfg.Zone),
 		address:  &addresses{},
 		metrics:  newMetrics(reg),
+		reg:      reg,
 	}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	if err := b.provision(); err != nil {
@@ -97,6 +101,9 @@
 		return err
 	}
 	b.data.clock = &b.places.clock
+	if f.traces, err = newFlowTracer(b.cfg.Traces, b.cfg.Keys, b.cfg.Internal, &b.places.clock, b.reg); err != nil {
+		return err
+	}
 	if b.control, err = newDuty(b); err != nil {
 		return err
 	}
@@ -139,6 +146,9 @@
 	g.Add(b.data.outward, stop)
 	g.Add(func() error { b.control.run(b.ctx); return nil }, stop)
 	g.Add(b.bulk.Serve, stop)
+	if t := b.data.forwarder.traces; t != nil {
+		g.Add(func() error { t.run(b.ctx); return nil }, stop)
+	}
 	return g.Run()
 }
 
--- a/internal/balancer/duty.go
+++ b/internal/balancer/duty.go
@@ -160,6 +160,10 @@
 		d.receiveCatalogue(now, m.From, b)
 	case seal.TopicRoster:
 		d.answerRoster(now, m.From, b)
+	case seal.TopicTrace:
+		if !d.b.data.forwarder.traces.claim(b) {
+			d.b.metrics.controlBad.Inc()
+		}
 	default:
 		d.b.metrics.controlBad.Inc()
 	}
--- a/internal/balancer/forward.go
+++ b/internal/balancer/forward.go
@@ -60,6 +60,7 @@
 	packet    quicwire.Packet
 	header    frame.Header
 	choice    Choice
+	traces    *flowTracer // nil when tracing is off
 }
 
 // NewForwarder returns a forwarder for a balancer with internal address via.
@@ -126,5 +127,8 @@
 		f.header.Alternate = f.choice.Alternate
 		f.header.Load = f.choice.AlternateLoad
 	}
+	if f.traces.note(f.packet.ID, service, f.choice.Primary) {
+		f.header.Flags |= frame.FlagSampled
+	}
 	return f.choice.Primary, Forwarded
 }
--- a/internal/balancer/forward_bench_test.go
+++ b/internal/balancer/forward_bench_test.go
@@ -1,17 +1,22 @@
 package balancer
 
 import (
+	"context"
 	"encoding/binary"
 	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
 	"github.com/hemlockscale/hemlockscale/catalogue"
 	"github.com/hemlockscale/hemlockscale/connid"
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
 	"github.com/hemlockscale/hemlockscale/internal/frame"
 	"github.com/hemlockscale/hemlockscale/internal/quicwire"
+	"github.com/hemlockscale/hemlockscale/internal/tracing"
 	"github.com/hemlockscale/hemlockscale/internal/udp"
 	"github.com/hemlockscale/hemlockscale/placement"
 )
@@ -158,6 +163,44 @@
 	}
 }
 
+// BenchmarkForwardTraced is the decision on a first packet by how tracing is
+// set. The decision on all other packets has no code for it.
+func BenchmarkForwardTraced(b *testing.B) {
+	for _, c := range []struct {
+		name   string
+		on     bool
+		sample float64
+	}{{"off", false, 0}, {"share=0.01", true, 0.01}, {"share=1", true, 1}} {
+		b.Run(c.name, func(b *testing.B) {
+			f, ring := benchForwarder(b, benchAgents(7))
+			clock := &f.chooser.(*places).clock
+			if c.on {
+				var err error
+				p := tracing.New(tracing.Config{Sample: c.sample}, tracetest.NewNoopExporter(), prometheus.NewRegistry())
+				defer p.Close(context.Background())
+				if f.traces, err = newFlowTracer(p, ring, f.via, clock, prometheus.NewRegistry()); err != nil {
+					b.Fatal(err)
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				go f.traces.run(ctx)
+			}
+			packet := initialPacket()
+			id := packet[frame.Len+idOffset:]
+			b.ReportAllocs()
+			for i := uint64(0); b.Loop(); i++ {
+				if i%udp.Batch == 0 {
+					clock.tick()
+				}
+				binary.BigEndian.PutUint64(id, i)
+				if _, v := f.Forward(packet, benchCaller, benchAddress); v != Forwarded {
+					b.Fatal(v)
+				}
+			}
+		})
+	}
+}
+
 // TestForwardAllocatesNothing: an allocation per packet would show as pauses
 // and processor time of the garbage collector that grow with the packet rate.
 func TestForwardAllocatesNothing(t *testing.T) {
--- a/internal/seal/seal.go
+++ b/internal/seal/seal.go
@@ -23,6 +23,7 @@
 	TopicClaim            // an idempotency.Claim to a home
 	TopicVote             // an idempotency.Vote to a requester
 	TopicReport           // an idempotency.Report to a home
+	TopicTrace            // a tracing.Claim to a balancer
 )
 
 const (
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -14,7 +14,10 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/hemlockscale/hemlockscale/internal/standin/content"
+	"github.com/hemlockscale/hemlockscale/internal/tracing"
 )
 
 // Config is the settings of a backend server.
@@ -24,8 +27,9 @@
 	Service     string // told to callers in the header Backend-Service
 	Slots       int    // short requests at work at once
 	Connections int
-	Work        time.Duration // time that a short request takes
-	LoadLag     time.Duration // age of what /load says
+	Work        time.Duration     // time that a short request takes
+	LoadLag     time.Duration     // age of what /load says
+	Traces      *tracing.Provider // nil is off
 }
 
 // Run is one line of the journal: work that was started.
@@ -65,11 +69,16 @@
 	}
 	s := &Server{cfg: cfg, ln: ln, slots: make(chan struct{}, cfg.Slots)}
 	s.SetWork(cfg.Work)
-	s.http = &http.Server{Handler: s.handler(), ConnState: s.connState}
+	s.http = &http.Server{Handler: cfg.Traces.Wrap(s.handler(), traced), ConnState: s.connState}
 	go s.http.Serve(ln)
 	return s, nil
 }
 
+// traced picks the requests that come with a trace.
+func traced(_ *http.Request, parent trace.SpanContext) ([]trace.Link, bool) {
+	return nil, parent.IsSampled()
+}
+
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -20,6 +20,7 @@
 	"github.com/quic-go/quic-go/http3"
 
 	"github.com/hemlockscale/hemlockscale/internal/standin/content"
+	"github.com/hemlockscale/hemlockscale/internal/tracing"
 )
 
 // Config is the settings of a caller.
@@ -27,7 +28,8 @@
 	Address netip.AddrPort // service address and the fabric's port
 	Service string         // name on the certificate and in the answers
 	Roots   *x509.CertPool
-	Idle    time.Duration // after how much silence a connection is given up; default 30 s
+	Traces  *tracing.Provider // nil is off
+	Idle    time.Duration     // after how much silence a connection is given up; default 30 s
 }
 
 // Caller is one caller with one connection at a time.
@@ -131,7 +133,7 @@
 	for k, v := range header {
 		req.Header[k] = v
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := c.cfg.Traces.Call(req, c.transport.RoundTrip)
 	if err != nil {
 		return nil, &Error{Kind: Broken, Detail: err.Error()}
 	}
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -27,6 +27,7 @@
 	"github.com/hemlockscale/hemlockscale/internal/standin/pki"
 	standin "github.com/hemlockscale/hemlockscale/internal/standin/store"
 	"github.com/hemlockscale/hemlockscale/internal/store"
+	"github.com/hemlockscale/hemlockscale/internal/tracing"
 )
 
 // Service is one service of a deployment.
@@ -47,6 +48,26 @@
 	Services  []Service
 	Seed      uint64
 	Log       *zap.Logger
+	// Traces returns the tracing of one role; nil is off.
+	Traces func(Role) *tracing.Provider
+}
+
+// Role is a hop of a call.
+type Role string
+
+// The hops of a call, in order.
+const (
+	RoleCaller   Role = "caller"
+	RoleBalancer Role = "balancer"
+	RoleAgent    Role = "agent"
+	RoleBackend  Role = "backend"
+)
+
+func (d *Deployment) traces(r Role) *tracing.Provider {
+	if d.cfg.Traces == nil {
+		return nil
+	}
+	return d.cfg.Traces(r)
 }
 
 // Balancer is a running balancer.
@@ -195,6 +216,7 @@
 		Seeds:    d.seeds(),
 		Store:    d.client,
 		Linger:   time.Second,
+		Traces:   d.traces(RoleBalancer),
 	}, d.cfg.Log, prometheus.NewRegistry())
 	if err != nil {
 		return nil, err
@@ -249,6 +271,7 @@
 	server, err := backend.Start(backend.Config{
 		Listen: "127.0.0.1:0", Name: fmt.Sprintf("%s-%d", s.Name, i), Service: s.Name,
 		Slots: slots, Connections: catalogue.DefaultConnections, Work: s.Work,
+		Traces: d.traces(RoleBackend),
 	})
 	if err != nil {
 		return nil, err
@@ -267,6 +290,7 @@
 		Keys:        d.keys,
 		Seeds:       d.seeds(),
 		Repeats:     shortRepeats,
+		Traces:      d.traces(RoleAgent),
 	}, d.cfg.Log, prometheus.NewRegistry())
 	if err != nil {
 		server.Close()
@@ -296,7 +320,7 @@
 
 // Caller returns a new caller of a service.
 func (d *Deployment) Caller(service string) (*caller.Caller, error) {
-	return caller.New(caller.Config{Address: d.Address(service), Service: service, Roots: d.authority.Pool()})
+	return caller.New(caller.Config{Address: d.Address(service), Service: service, Roots: d.authority.Pool(), Traces: d.traces(RoleCaller)})
 }
 
 // TimeoutError reports a deployment that did not become ready.
