--- a/internal/balancer/dataplane.go
+++ b/internal/balancer/dataplane.go
@@ -30,6 +30,7 @@
 	observer  LoadObserver
 	control   chan control.Datagram
 	metrics   *metrics
+	clock     *batchClock
 }
 
 func newDataplane(ring fleetkey.Ring, public, internal *udp.Conn, f *Forwarder, o LoadObserver, m *metrics) (*dataplane, error) {
@@ -45,6 +46,7 @@
 		observer:  o,
 		control:   make(chan control.Datagram, controlRing),
 		metrics:   m,
+		clock:     &batchClock{},
 	}, nil
 }
 
@@ -54,17 +56,26 @@
 	r := udp.NewReader(d.public)
 	w := udp.NewWriter(d.internal)
 	for {
-		n, err := r.Read()
-		if err != nil {
+		if _, err := d.inwardBatch(r, w); err != nil {
 			return udp.IgnoreClosed(err)
 		}
-		for i := range n {
-			d.forward(r, w, i)
-		}
-		d.metrics.sendErrors.Add(float64(w.Flush()))
 	}
 }
 
+// inwardBatch carries one batch of caller packets and returns its length.
+func (d *dataplane) inwardBatch(r *udp.Reader, w *udp.Writer) (n int, err error) {
+	n, err = r.Read()
+	if err != nil {
+		return 0, err
+	}
+	d.clock.tick()
+	for i := range n {
+		d.forward(r, w, i)
+	}
+	d.metrics.sendErrors.Add(float64(w.Flush()))
+	return n, nil
+}
+
 func (d *dataplane) forward(r *udp.Reader, w *udp.Writer, i int) {
 	address, ok := r.Destination(i)
 	if !ok || r.Truncated(i) {
@@ -91,6 +102,7 @@
 		if err != nil {
 			return udp.IgnoreClosed(err)
 		}
+		d.clock.tick()
 		for i := range n {
 			d.giveBack(r, w, i, &h)
 		}
