--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -135,3 +135,17 @@
 
 // Env returns a copy of the settings that the agent was started with.
 func (a *Agent) Env() map[string]string { return maps.Clone(a.env) }
+
+// RunProgram runs a program of this module to its end and returns what it wrote
+// and its exit code.
+func RunProgram(t testing.TB, program string, args ...string) (out string, code int) {
+	t.Helper()
+	cmd := exec.Command(binary(t, program), args...)
+	cmd.Env = []string{}
+	b, err := cmd.CombinedOutput()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatalf("%s: %v", program, err)
+	}
+	return string(b), cmd.ProcessState.ExitCode()
+}
