--- a/catalogue/bench_test.go
+++ b/catalogue/bench_test.go
@@ -167,14 +167,14 @@
 
 // BenchmarkChange is what one change costs a node's processor: decode the
 // message, apply it to the target's catalogue, and encode what goes on to
-// three peers. With "table", the address index is built anew as well.
+// four peers. With "table", the address index is built anew as well.
 func BenchmarkChange(b *testing.B) {
 	for _, rebuild := range []bool{false, true} {
 		b.Run(fmt.Sprintf("table=%v", rebuild), func(b *testing.B) {
 			w := targetWriter()
 			s := w.state.Snapshot()
 			r := NewReplica(ReplicaConfig{Peers: func(n int) []netip.AddrPort {
-				return []netip.AddrPort{nodeAddr(2), nodeAddr(3), nodeAddr(4)}[:n]
+				return []netip.AddrPort{nodeAddr(2), nodeAddr(3), nodeAddr(4), nodeAddr(5)}[:n]
 			}})
 			if err := r.ReceiveBulk(epoch, nodeAddr(1), Bulk{Snapshot: &s}); err != nil {
 				b.Fatal(err)
@@ -327,3 +327,28 @@
 		}
 	}
 }
+
+// BenchmarkColdStart reports how long n empty nodes take to load the target's
+// catalogue from one that has it and from each other, as after a power cut.
+// Run with -benchtime 1x.
+func BenchmarkColdStart(b *testing.B) {
+	s := variedSnapshot()
+	for _, n := range []int{8, 16, 32, 64} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			for range b.N {
+				x := newExchange(n, 0.05, 7, ReplicaConfig{})
+				if err := x.nodes[0].ReceiveLoad(x.now, Bulk{Snapshot: &s}); err != nil {
+					b.Fatal(err)
+				}
+				done := converged(x, s.Digest)
+				x.run(epoch.Add(5*time.Minute), done)
+				if !done() {
+					b.Fatal("not all loaded")
+				}
+				b.ReportMetric(float64(x.now.Sub(epoch).Milliseconds()), "all-ms")
+				b.ReportMetric(float64(x.bulkSize)/float64(n), "bulk-B/node")
+				b.ReportMetric(float64(x.bulks)/float64(n), "bulks/node")
+			}
+		})
+	}
+}
