--- a/membership/bulk.go
+++ b/membership/bulk.go
@@ -78,8 +78,6 @@
 // gossip: the rest of the fleet has them.
 func (m *Machine) MergeAll(now time.Time, list []Record) {
 	for i := range list {
-		if m.merge(now, &list[i], 0) {
-			delete(m.queue.level, keyOf(list[i].Addr))
-		}
+		m.merge(now, &list[i], notGossiped)
 	}
 }
--- a/membership/load_test.go
+++ b/membership/load_test.go
@@ -117,7 +117,7 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	m.MergeAll(x.now, all)
-	m.changes, m.queue = nil, gossipQueue{}
+	m.Changes()
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	heap := float64(after.HeapAlloc - before.HeapAlloc)
@@ -142,7 +142,7 @@
 func BenchmarkTick(b *testing.B) {
 	m, x, all := target(b)
 	m.MergeAll(x.now, all)
-	m.queue = gossipQueue{}
+	m.Changes()
 	now := x.now
 	b.ResetTimer()
 	for b.Loop() {
@@ -210,3 +210,43 @@
 	}
 	b.ReportMetric(float64(n), "B/message")
 }
+
+// TestMeasureDay prints the traffic while processes restart as often as on the
+// ordinary day of the target size: 11,250 times in 24 hours, whatever n.
+func TestMeasureDay(t *testing.T) {
+	zones, balancers, agents, d := 3, 4, 6, 2*time.Minute
+	if *measure {
+		zones, balancers, agents, d = 18, 28, 56, 20*time.Minute
+	}
+	const between = 24 * time.Hour / 11_250
+	x, list, as := region(t, 12, zones, balancers, agents)
+	rest := x.load(list, 30*time.Second)
+	start, before, received := x.now, x.sent(list), sumStats(list).ReceivedBytes
+	restarts := 0
+	for ; x.now.Sub(start) < d; restarts++ {
+		i := x.rng.IntN(len(as))
+		a := as[i]
+		a.announcer.SetState(x.now, StateLeaving)
+		x.flush(a)
+		x.run(3*time.Second, nil)
+		a.stopped = true
+		x.run(time.Second, nil)
+		as[i] = x.agent(i, i%zones, a.announcer.Observers()...)
+		as[i].announcer.SetState(x.now, StateStarting)
+		x.run(2*time.Second, nil)
+		as[i].announcer.SetState(x.now, StateReady)
+		x.flush(as[i])
+		x.run(between-6*time.Second, nil)
+	}
+	per := float64(len(list)) * x.now.Sub(start).Seconds()
+	sent := (x.sent(list).bytes - before.bytes) / per
+	got := float64(sumStats(list).ReceivedBytes-received) / per
+	t.Logf("%d balancers, %d agents, %d restarts in %v: a balancer sends %.0f B/s (%.0f at rest), receives %.0f B/s, %.0f B a restart",
+		len(list), len(as), restarts, x.now.Sub(start), sent, rest.bytes, got, (sent-rest.bytes)*between.Seconds())
+	if !x.run(20*time.Second, x.agree) {
+		t.Errorf("rosters differ 20 s after the last restart:%.1000s", x.differences())
+	}
+	if both := sent + got; both > 8192 {
+		t.Errorf("%.0f B/s sent and received", both)
+	}
+}
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -134,11 +134,17 @@
 	return out
 }
 
+// maxKeptChanges is the largest memory for changes that is used again.
+const maxKeptChanges = 1024
+
 // Changes returns the changes of the roster since the last call, oldest first.
 // The slice is valid until the next call of any method.
 func (m *Machine) Changes() []Change {
 	changes := m.changes
 	m.changes = m.changes[:0]
+	if cap(changes) > maxKeptChanges {
+		m.changes = nil // a bulk transfer must not leave its size behind
+	}
 	return changes
 }
 
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -33,6 +33,10 @@
 	return true
 }
 
+// notGossiped in place of a number of transmissions keeps a record from being
+// passed on.
+const notGossiped = -1
+
 // apply stores a record, reports the change and queues it for gossip as one
 // that was sent so many times already.
 func (m *Machine) apply(now time.Time, rec *Record, sent int) {
@@ -44,7 +48,9 @@
 	if rec.Verdict == VerdictDead {
 		m.dead = append(m.dead, tombstone{c.key, rec.Incarnation, now})
 	}
-	m.queue.add(c.key, !rec.TakesWork(), full, sent)
+	if sent != notGossiped {
+		m.queue.add(c.key, !rec.TakesWork(), full, sent)
+	}
 }
 
 // refute answers a verdict about this balancer with a higher version.
