--- a/membership/machine.go
+++ b/membership/machine.go
@@ -134,11 +134,17 @@
 	return out
 }
 
+// maxKeptChanges is the largest memory for changes that is used again.
+const maxKeptChanges = 1024
+
 // Changes returns the changes of the roster since the last call, oldest first.
 // The slice is valid until the next call of any method.
 func (m *Machine) Changes() []Change {
 	changes := m.changes
 	m.changes = m.changes[:0]
+	if cap(changes) > maxKeptChanges {
+		m.changes = nil // a bulk transfer must not leave its size behind
+	}
 	return changes
 }
 
@@ -221,11 +227,11 @@
 	m.out = append(m.out, Envelope{to, msg})
 }
 
-// charge takes n bytes from the budget. Reports and their acks are sent in any
-// case, and take at most half of it: where many agents report to a balancer,
+// charge takes n bytes from the budget. Reports, their acks and the questions
+// of observers are sent in any case, and take at most half of it: where many agents report to a balancer,
 // its gossip would otherwise wait for ever, seen as changes that reach nobody.
 func (m *Machine) charge(kind Kind, n float64) {
-	if kind <= KindAck {
+	if kind <= KindAck || kind == KindDoubt || kind == KindOpinion {
 		n = min(n, max(m.reports, 0))
 		m.reports -= n
 	}
