Hand a home's votes over at a planned restart

Cause: a restarted home is fenced for 79.56 s, so a roll of all agents refused keys although every stop was planned.

Change: Home.Handover, Depot and Home.Accept. The votes go to another agent and from there to exactly one successor at the same address; the fence ends only if all parts came, the stop was less than Keep/2 ago, and the old home wasn't fenced. Planned restarts are among the generated schedules.

The test's membership left an arrival that it suspected out of both Live and Gone, against the assumption on Skew. The world now names it as gone when the agent has never counted it, and still drops those it named before.

Seen red, by one-line mutations: home votes after Handover; handover given or accepted by a second process; age ignored; voted ignored; fence not passed on or lengthened; parts not counted; inheritBy ignored or endless (handover_test.go). TestPlannedRollFencesNoKey was red when a third of the handovers had no receiver (22 of 50 keys ran, trial).

--- a/idempotency/home.go
+++ b/idempotency/home.go
@@ -21,6 +21,12 @@
 	listed    bool      // whether the roster names self
 	confirmed time.Time // when the roster was last known to be current
 	fencedTo  time.Time // no vote before; zero before the first roster
+
+	closed    bool         // handed over: no votes any more
+	voted     bool         // gave a vote: too late to take over
+	inheritBy time.Time    // a roster that names self before begins no fence
+	source    uint64       // incarnation that is being taken over from
+	accepted  map[int]bool // parts of it
 }
 
 // record is what a home knows of a key.
@@ -52,7 +58,7 @@
 // again, its fence begins anew.
 func (h *Home) Update(now time.Time, r Roster) {
 	listed := slices.Contains(r.Live, h.self)
-	if listed && !h.listed {
+	if listed && !h.listed && !now.Before(h.inheritBy) {
 		h.fencedTo = now.Add(h.cfg.Fence())
 	}
 	h.listed = listed
@@ -69,7 +75,7 @@
 func (h *Home) fence(now time.Time) time.Duration {
 	// A home that was frozen believes in the roster of before. Its clock
 	// shows the pause, so it waits for a roster that is current.
-	if !h.listed || now.Sub(h.confirmed) > h.cfg.Freshness {
+	if h.closed || !h.listed || now.Sub(h.confirmed) > h.cfg.Freshness {
 		return h.cfg.Freshness
 	}
 	return max(0, h.fencedTo.Sub(now))
@@ -93,6 +99,7 @@
 		return v
 	}
 	h.put(now, c.Key, record{id: c.ID, state: Claimed})
+	h.voted = true
 	v.Kind = Granted
 	return v
 }
--- a/idempotency/property_test.go
+++ b/idempotency/property_test.go
@@ -31,6 +31,7 @@
 		dup:           rate("dup", 0.1, 0.5),
 		delay:         rapid.SampledFrom([]time.Duration{1e6, 1e8, 1e9, 2e10}).Draw(t, "delay"),
 		crash:         rate("crash", 0.002, 0.02),
+		restart:       rate("restart", 0.005, 0.02),
 		freeze:        rate("freeze", 0.002, 0.02),
 		partition:     rate("partition", 0.002, 0.02),
 		suspect:       rate("suspect", 0.01, 0.1),
@@ -83,6 +84,31 @@
 	})
 }
 
+// Symptom: every reservation is refused for a minute after a roll of agents.
+// Sequence: all agents are restarted one by one, as planned, a second each.
+// Cause: each one forgets its votes and is fenced.
+func TestPlannedRollFencesNoKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 7).Draw(t, "agents")
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, testConfig(), faults{delay: 5 * time.Millisecond})
+		w.check = w.honest(t)
+		i, next := 0, 0
+		w.run(time.Duration(2*n+8)*time.Second, func() {
+			if w.step()%100 == 0 && next < n {
+				w.restart(w.ps[next], time.Second)
+				next++
+			}
+			if p := w.ps[(next+1)%n]; i < 50 && w.step()%10 == 0 && p.up {
+				w.begin((next+1)%n, key(i))
+				i++
+			}
+		}, false)
+		if i != 50 || len(w.ran) != 50 {
+			t.Fatalf("%d of %d keys ran", len(w.ran), i)
+		}
+	})
+}
+
 // ranOnce is the sequential behaviour of one key: a request runs if none did
 // before, a duplicate comes after a run, not run comes before any, and unknown
 // says nothing.
--- a/idempotency/world_test.go
+++ b/idempotency/world_test.go
@@ -28,6 +28,7 @@
 	loss, dup                                     float64
 	delay                                         time.Duration // longest delay of a datagram
 	crash, freeze, partition, suspect, join, goes float64
+	restart                                       float64 // planned, with a handover
 	longestFreeze                                 time.Duration
 }
 
@@ -36,6 +37,8 @@
 	addr     netip.AddrPort
 	rate     float64 // of its clock against true time
 	home     *Home
+	depot    *Depot
+	inc      uint64
 	elect    *Electorate
 	req      *Requester
 	up       bool
@@ -69,16 +72,17 @@
 }
 
 type world struct {
-	cfg   Config
-	f     faults
-	rng   *rand.Rand
-	now   time.Time
-	ps    []*process
-	net   map[int64][]datagram // by the step in which they arrive
-	calls []*call
-	ran   []*call // in order of their first byte
-	inc   uint64
-	check func(c *call) // called with each answer
+	cfg       Config
+	f         faults
+	rng       *rand.Rand
+	now       time.Time
+	ps        []*process
+	net       map[int64][]datagram // by the step in which they arrive
+	calls     []*call
+	ran       []*call // in order of their first byte
+	inc       uint64
+	inherited int           // homes that took over
+	check     func(c *call) // called with each answer
 }
 
 func newWorld(seed uint64, n int, cfg Config, f faults) *world {
@@ -103,6 +107,8 @@
 func (w *world) boot(p *process, complete bool) {
 	w.inc++
 	p.up = true
+	p.inc = w.inc
+	p.depot = NewDepot(w.cfg)
 	p.home = NewHome(p.addr, w.cfg)
 	p.elect = NewElectorate(w.clock(p), w.cfg)
 	p.req = NewRequester(p.addr, w.inc, p.elect, w.cfg, rand.New(rand.NewPCG(w.inc, 2)))
@@ -110,6 +116,32 @@
 	p.suspects = map[netip.AddrPort]time.Time{}
 	p.viewAt = time.Time{}
 	w.see(p, complete)
+	w.takeOver(p)
+}
+
+// takeOver lets p ask the others, twice, for what its address handed over.
+func (w *world) takeOver(p *process) {
+	for _, o := range slices.Concat(w.ps, w.ps) {
+		if o == p || !o.up || o.group != p.group || w.rng.Float64() < w.f.loss {
+			continue
+		}
+		for _, t := range o.depot.Take(w.clock(o), p.addr, p.inc) {
+			if w.rng.Float64() >= w.f.loss && p.home.Accept(w.clock(p), p.inc, t) {
+				w.inherited++
+			}
+		}
+	}
+}
+
+// restart stops p as planned and hands its votes to another process.
+func (w *world) restart(p *process, down time.Duration) {
+	o := w.ps[(slices.Index(w.ps, p)+1)%len(w.ps)]
+	for _, t := range p.home.Handover(w.clock(p), p.inc) {
+		if o != p && o.up && o.group == p.group && w.rng.Float64() >= w.f.loss {
+			o.depot.Put(w.clock(o), t)
+		}
+	}
+	w.crash(p, down)
 }
 
 // clock is the time that p reads.
@@ -133,6 +165,10 @@
 			r.Gone = append(r.Gone, Gone{Addr: o.addr, Age: w.now.Sub(o.goneAt), Left: o.left})
 		} else if w.now.After(p.suspects[o.addr]) {
 			r.Live = append(r.Live, o.addr)
+		} else if p.elect.members[o.addr] == nil {
+			// A roster may drop a process that it named before, but one that
+			// never names an arrival breaks the assumption on Skew.
+			r.Gone = append(r.Gone, Gone{Addr: o.addr})
 		}
 	}
 	now := w.clock(p)
@@ -256,7 +292,7 @@
 		for i, p := range w.ps {
 			if !p.up && !p.left && !p.startAt.After(w.now) {
 				p.goneAt = time.Time{}
-				w.boot(p, false)
+				w.boot(p, w.rng.IntN(2) == 0 || !faulty)
 			}
 			if p.up && !p.frozen.After(w.now) {
 				w.tick(i)
@@ -276,6 +312,9 @@
 	if p.up && r.Float64() < w.f.crash {
 		w.crash(p, time.Duration(r.IntN(5000))*time.Millisecond)
 	}
+	if p.up && r.Float64() < w.f.restart {
+		w.restart(p, time.Duration(r.IntN(8000))*time.Millisecond)
+	}
 	if p.up && r.Float64() < w.f.freeze {
 		p.frozen = w.now.Add(time.Duration(r.Float64() * float64(w.f.longestFreeze)))
 	}
