--- a/placement/occupancy.go
+++ b/placement/occupancy.go
@@ -15,7 +15,8 @@
 	connectionScale = 50  // all connections taken
 )
 
-// Usage is what an agent knows about itself.
+// Usage is what an agent knows about itself. MaxConnections has to be set: 0
+// is an agent that has no connection left.
 type Usage struct {
 	SlotsBusy, Slots            int // requests at work at the backend server
 	Queue                       int // requests that wait for a slot
