--- a/cmd/hemlock-agent/main.go
+++ b/cmd/hemlock-agent/main.go
@@ -77,6 +77,7 @@
 		func() error { return settings.Required("tls-key", *certKey) },
 		func() (err error) { a.Internal, err = settings.AddrPort("internal", *internal); return },
 		func() (err error) { a.Seeds, err = settings.AddrPorts("balancers", *seeds); return },
+		func() error { return settings.Level("log-level", cfg.daemon.Level) },
 		func() (err error) { cfg.daemon.Admin, err = settings.AddrPort("admin", *admin); return },
 		func() (err error) { a.Keys, err = fleetkey.Parse(*key); return },
 		func() (err error) { a.Store, err = openStore(*storeURL); return },
--- a/cmd/hemlock-balancer/main.go
+++ b/cmd/hemlock-balancer/main.go
@@ -61,6 +61,7 @@
 		func() (err error) { cfg.balancer.Public, err = settings.AddrPort("public", *public); return },
 		func() (err error) { cfg.balancer.Internal, err = settings.AddrPort("internal", *internal); return },
 		func() (err error) { cfg.balancer.Seeds, err = settings.AddrPorts("seeds", *seeds); return },
+		func() error { return settings.Level("log-level", cfg.daemon.Level) },
 		func() (err error) { cfg.daemon.Admin, err = settings.AddrPort("admin", *admin); return },
 		func() (err error) { cfg.balancer.Keys, err = fleetkey.Parse(*key); return },
 		func() (err error) { cfg.balancer.Store, err = store.New(store.Config{URL: *storeURL}); return },
--- /dev/null
+++ b/internal/agent/lifecycle_test.go
@@ -0,0 +1,62 @@
+package agent
+
+import (
+	"crypto/tls"
+	"net/netip"
+	"net/url"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+	"github.com/hemlockscale/hemlockscale/internal/standin/pki"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestCloseEndsEverything: an agent that ends leaves no goroutine behind,
+// whether it ran or not. TestMain looks for them.
+func TestCloseEndsEverything(t *testing.T) {
+	ring, err := fleetkey.Parse("1:000102030405060708090a0b0c0d0e0f")
+	if err != nil {
+		t.Fatal(err)
+	}
+	authority, err := pki.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	certPEM, keyPEM, err := authority.Issue("listing")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := tls.X509KeyPair(certPEM, keyPEM)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, run := range []bool{false, true} {
+		a, err := New(Config{
+			Internal:    netip.MustParseAddrPort("127.0.0.1:0"),
+			Service:     "listing",
+			Zone:        "zone-a",
+			Backend:     &url.URL{Scheme: "http", Host: "127.0.0.1:9"},
+			Certificate: cert,
+			Keys:        ring,
+			Seeds:       []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:9")},
+		}, zap.NewNop(), prometheus.NewRegistry())
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan error, 1)
+		if run {
+			go func() { done <- a.Run() }()
+		} else {
+			done <- nil
+		}
+		a.Close()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"github.com/peterbourgon/ff/v3"
+	"go.uber.org/zap/zapcore"
 )
 
 // ExitUsage is the exit code of a program with wrong settings.
@@ -150,6 +151,14 @@
 	return nil
 }
 
+// Level checks the name of a log level.
+func Level(setting, value string) error {
+	if _, err := zapcore.ParseLevel(value); err != nil {
+		return &Error{Setting: setting, Reason: fmt.Sprintf("%q is no log level", value), Remedy: "give debug, info, warn or error"}
+	}
+	return nil
+}
+
 // First runs checks in order and returns the first error.
 func First(checks ...func() error) error {
 	for _, check := range checks {
--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -128,3 +129,9 @@
 		return ErrStillRuns
 	}
 }
+
+// Env returns a copy of the settings that the balancer was started with.
+func (b *Balancer) Env() map[string]string { return maps.Clone(b.env) }
+
+// Env returns a copy of the settings that the agent was started with.
+func (a *Agent) Env() map[string]string { return maps.Clone(a.env) }
--- a/test/leave_test.go
+++ b/test/leave_test.go
@@ -93,6 +93,11 @@
 	l := keepBusy(t, f, leaving, 6*time.Second)
 	leaving.Terminate()
 	pause(leaveLimit)
+	for _, b := range f.Balancers {
+		if n := metric(t, b.Admin, "hemlock_balancer_agents_ready"); int(n) != len(f.Agents)-1 {
+			t.Errorf("%s places new flows on %v agents", b.Name, n)
+		}
+	}
 	if n := newFlows(t, f, 64)[leaving.Backend.Name()]; n > 0 {
 		t.Errorf("%d of 64 new flows reached the backend server that leaves", n)
 	}
--- /dev/null
+++ b/test/schedule_test.go
@@ -0,0 +1,207 @@
+package test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hemlockscale/hemlockscale/internal/standin/caller"
+	"github.com/hemlockscale/hemlockscale/internal/standin/fabric"
+	"github.com/hemlockscale/hemlockscale/test/fleet"
+)
+
+var (
+	faultsSeed    = flag.Uint64("faults.seed", 1, "seed of the schedule of faults")
+	faultsMinutes = flag.Float64("faults.minutes", 0.2, "how long the schedule of faults lasts")
+)
+
+// fault is one thing that goes wrong, and how it is set right again.
+type fault struct {
+	name  string
+	begin func(*schedule)
+	end   func(*schedule)
+}
+
+// schedule draws faults from a seed and has at most two of them at once. Each
+// takes the balancer that it hits from the same draw, so that a seed replays
+// the same faults in the same order.
+type schedule struct {
+	t    *testing.T
+	f    *fleet.Fleet
+	rng  *rand.Rand
+	hit  int // index of the balancer that the fault hits
+	wire fabric.Faults
+}
+
+func (s *schedule) balancer() *fleet.Balancer { return s.f.Balancers[s.hit] }
+
+func (s *schedule) setWire(change func(*fabric.Faults)) {
+	change(&s.wire)
+	s.f.Fabric.SetFaults(s.wire)
+}
+
+func (s *schedule) restart() {
+	s.f.StartBalancer(s.hit)
+	s.f.Eventually("balancer ready again", func() bool {
+		v, ok := fleet.Metric(s.balancer().Admin, "hemlock_balancer_agents_ready")
+		return ok && int(v) == len(s.f.Agents)
+	})
+}
+
+// balancerFaults hit one balancer each.
+var balancerFaults = []fault{
+	{"kill", func(s *schedule) { s.balancer().Kill() }, (*schedule).restart},
+	{"stop", func(s *schedule) { s.balancer().Terminate() }, func(s *schedule) {
+		if err := s.balancer().Wait(fleet.Limit); err != nil {
+			s.t.Errorf("%s: %v", s.balancer().Name, err)
+		}
+		s.restart()
+	}},
+	{"freeze", func(s *schedule) { s.balancer().Freeze() }, func(s *schedule) { s.balancer().Resume() }},
+	{"cut to", func(s *schedule) {
+		s.setWire(func(w *fabric.Faults) { w.CutTo = append(w.CutTo, s.balancer().Port) })
+	}, func(s *schedule) { s.setWire(func(w *fabric.Faults) { w.CutTo = nil }) }},
+	{"cut from", func(s *schedule) {
+		s.setWire(func(w *fabric.Faults) { w.CutFrom = append(w.CutFrom, s.balancer().Port) })
+	}, func(s *schedule) { s.setWire(func(w *fabric.Faults) { w.CutFrom = nil }) }},
+}
+
+// wireFaults hit all packets.
+var wireFaults = []fault{
+	{"loss", func(s *schedule) { s.setWire(func(w *fabric.Faults) { w.Loss = 0.03 }) }, func(s *schedule) { s.setWire(func(w *fabric.Faults) { w.Loss = 0 }) }},
+	{"duplicates and reordering", func(s *schedule) {
+		s.setWire(func(w *fabric.Faults) { w.Duplicate, w.Reorder, w.Hold = 0.1, 0.1, 5*time.Millisecond })
+	}, func(s *schedule) { s.setWire(func(w *fabric.Faults) { w.Duplicate, w.Reorder = 0, 0 }) }},
+	{"delay", func(s *schedule) { s.setWire(func(w *fabric.Faults) { w.Delay = 3 * time.Millisecond }) }, func(s *schedule) { s.setWire(func(w *fabric.Faults) { w.Delay = 0 }) }},
+}
+
+// round has one balancer fault and one wire fault at once, every third time the
+// same balancer fault twice in a row, and sets both right again.
+func (s *schedule) round(n int) {
+	s.hit = s.rng.IntN(len(s.f.Balancers))
+	b, w := balancerFaults[s.rng.IntN(len(balancerFaults))], wireFaults[s.rng.IntN(len(wireFaults))]
+	last := time.Duration(300+s.rng.IntN(1200)) * time.Millisecond
+	times := 1
+	if n%3 == 2 {
+		times = 2
+	}
+	s.t.Logf("round %d: %s of balancer %d, %d times, with %s, %v", n, b.name, s.hit, times, w.name, last)
+	w.begin(s)
+	for range times {
+		b.begin(s)
+		pause(last)
+		b.end(s)
+	}
+	w.end(s)
+}
+
+// TestScheduleOfFaults: two faults at once and the same one twice, drawn from a
+// seed, while feeds, downloads and reservations go on. Every flow must be whole,
+// no answer wrong, nothing run twice, nothing run that was said not to.
+//
+//	go test ./test -run TestScheduleOfFaults -faults.seed 7 -faults.minutes 10 -timeout 30m
+func TestScheduleOfFaults(t *testing.T) {
+	t.Parallel()
+	cfg := kanatpar()
+	cfg.Balancers = 4
+	f := fleet.Start(t, cfg)
+	s := &schedule{t: t, f: f, rng: rand.New(rand.NewPCG(*faultsSeed, 0))}
+	t.Logf("seed %d, %v minutes", *faultsSeed, *faultsMinutes)
+	end := time.Now().Add(time.Duration(*faultsMinutes * float64(time.Minute)))
+	w := newWork(t, f)
+	for n := 0; time.Now().Before(end); n++ {
+		s.round(n)
+	}
+	w.finish()
+}
+
+// work is flows and requests that go on until finish.
+type work struct {
+	t                      *testing.T
+	f                      *fleet.Fleet
+	wg                     sync.WaitGroup
+	stop                   chan struct{}
+	flows, answers, failed atomic.Int64
+	mu                     sync.Mutex
+	notRun                 []string
+}
+
+func newWork(t *testing.T, f *fleet.Fleet) *work {
+	w := &work{t: t, f: f, stop: make(chan struct{})}
+	for i := range 4 {
+		w.repeat("listing", func(ctx context.Context, c *caller.Caller, n int) {
+			_, err := c.Feed(ctx, 100, feedInterval, uint64(n), nil)
+			w.flow(err)
+		})
+		w.repeat("records", func(ctx context.Context, c *caller.Caller, n int) {
+			_, err := c.DownloadAt(ctx, downloadRate, downloadRate, uint64(n), nil)
+			w.flow(err)
+		})
+		w.repeat("listing", func(ctx context.Context, c *caller.Caller, n int) {
+			w.reserve(ctx, c, fmt.Sprintf("reservation-%d-%d", i, n))
+		})
+	}
+	return w
+}
+
+// repeat has one caller with one connection do something again and again.
+func (w *work) repeat(service string, do func(context.Context, *caller.Caller, int)) {
+	w.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*fleet.Limit+time.Duration(*faultsMinutes*float64(time.Minute)))
+		defer cancel()
+		c := w.f.Caller(service)
+		for n := 0; ; n++ {
+			select {
+			case <-w.stop:
+				return
+			default:
+				do(ctx, c, n)
+			}
+		}
+	})
+}
+
+func (w *work) flow(err error) {
+	w.flows.Add(1)
+	if err != nil {
+		w.t.Errorf("flow: %v", err)
+	}
+}
+
+// reserve sends one reservation. That it fails visibly is no fault here: the
+// agents of both services stay up, but a deadline may pass under loss.
+func (w *work) reserve(ctx context.Context, c *caller.Caller, key string) {
+	a, err := c.Reserve(ctx, key, "part")
+	mustNotBeWrong(w.t, err)
+	if err != nil {
+		w.failed.Add(1)
+		return
+	}
+	w.answers.Add(1)
+	if a.Outcome == "not-run" {
+		w.mu.Lock()
+		w.notRun = append(w.notRun, key)
+		w.mu.Unlock()
+	}
+}
+
+func (w *work) finish() {
+	w.t.Helper()
+	close(w.stop)
+	w.wg.Wait()
+	expectOnce(w.t, w.f)
+	for _, key := range w.notRun {
+		if ran(w.f, key) {
+			w.t.Errorf("%s was said not to have run, and ran", key)
+		}
+	}
+	w.t.Logf("flows %d, reservations answered %d, of them refused %d, failed visibly %d", w.flows.Load(), w.answers.Load(), len(w.notRun), w.failed.Load())
+	if w.flows.Load() == 0 || w.answers.Load() == 0 {
+		w.t.Error("nothing was proved")
+	}
+}
