Strangers ask a balancer for its roster, as a process of the fleet does

Cause: TestStrangersGetNoTransfer stayed green with the check of certificates off: its request was malformed, so that nobody would have been answered. Change: the strangers send the request that a process of the fleet sends, and the test shows first that such a process is answered.

--- a/test/strangers_test.go
+++ b/test/strangers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"maps"
 	"net/netip"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"github.com/hemlockscale/hemlockscale/internal/bulk"
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
 	"github.com/hemlockscale/hemlockscale/internal/frame"
 	"github.com/hemlockscale/hemlockscale/internal/seal"
@@ -98,8 +100,26 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), fleet.Limit)
 	defer cancel()
+	ring, err := fleetkey.Parse(fleet.FleetKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	member, err := bulk.Listen(ring, netip.MustParseAddrPort("127.0.0.1:0"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer member.Close()
 	for _, b := range f.Balancers {
 		addr := netip.AddrPortFrom(b.Internal.Addr(), bulkPort(b.Internal))
+		// What a process of the fleet gets is what strangers must not get.
+		var roster []byte
+		err := member.Fetch(ctx, addr, bulk.KindRoster, nil, func(r io.Reader) (err error) {
+			roster, err = io.ReadAll(r)
+			return err
+		})
+		if err != nil || len(roster) == 0 {
+			t.Fatalf("%s gave a process of the fleet %d bytes: %v", b.Name, len(roster), err)
+		}
 		for _, config := range strangersTLS(t, authority) {
 			conn, err := quic.DialAddr(ctx, addr.String(), config, nil)
 			if err != nil {
@@ -107,7 +127,7 @@
 			}
 			stream, err := conn.OpenStreamSync(ctx)
 			if err == nil {
-				stream.Write([]byte{1})
+				stream.Write([]byte{byte(bulk.KindRoster)})
 				stream.Close()
 				stream.SetReadDeadline(time.Now().Add(fleet.Limit))
 				answer := make([]byte, 1)
