Agent: an open feed holds a small copy buffer

Cause: each open feed held 32 KB for copying, the largest single part of what a flow costs. Change: the buffer begins with 2 KB and grows when an answer fills it.

--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,10 +38,6 @@
 	OutcomeUnknown = "unknown" // it may have run; ask before sending it again
 )
 
-const copyBuffer = 32 << 10
-
-var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyBuffer); return &b }}
-
 // handler serves the requests of one service's callers.
 type handler struct {
 	entry   *atomic.Pointer[catalogue.Entry]
@@ -223,16 +218,16 @@
 
 // copyBody copies an answer's body. flush sends each part on as it comes.
 func copyBody(w http.ResponseWriter, body io.Reader, flush bool) error {
-	buf := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(buf)
+	var buf copyBuffer
+	defer buf.free()
 	rc := http.NewResponseController(w)
 	if flush {
 		rc.Flush() // the header goes out before the first part
 	}
 	for {
-		n, err := body.Read(*buf)
+		n, err := body.Read(buf.next())
 		if n > 0 {
-			if _, werr := w.Write((*buf)[:n]); werr != nil {
+			if _, werr := w.Write(buf.took(n)); werr != nil {
 				return werr
 			}
 			if flush {
