--- a/admission/measure_test.go
+++ b/admission/measure_test.go
@@ -120,9 +120,15 @@
 		for _, c := range policies(1)[:2] {
 			m := newModel(1, c.p)
 			m.capacity, m.thrash = 3, thrash
-			m.arrive("a", 2*full*3/5, modelTime)
-			m.run(modelTime)
-			fmt.Printf("thrash %.1f %-16s %.3f\n", thrash, c.name, float64(m.total())/(full*3/5)/modelTime.Seconds())
+			const long = 4 * modelTime
+			m.arrive("a", 2*full*3/5, long)
+			m.run(long)
+			last := 0
+			for s := 90; s < 120; s++ {
+				last += m.goodAt[s]
+			}
+			fmt.Printf("thrash %.1f %-16s %.3f, in the last 30 s of 120 %.3f\n", thrash, c.name,
+				float64(m.total())/(full*3/5)/long.Seconds(), float64(last)/(full*3/5)/30)
 		}
 	}
 	fmt.Println("\nbackend server that answers 503 above 3 at work, load 2 of 3 slots: goodput / its capacity, 503s per answer")
@@ -163,6 +169,31 @@
 	}
 }
 
+func TestMeasureLongFlows(t *testing.T) {
+	if !*measure {
+		return
+	}
+	fmt.Println("\nshort requests at load 0.6 and feeds of 10 s opened at 0.2, 50 a second: share of short, of feeds opened in time")
+	for _, hold := range []bool{false, true} {
+		m := newModel(1, newOurs(1))
+		m.holdSlots = hold
+		m.arrive("short", 0.6*full, modelTime)
+		m.arriveFlows("feeds", 0.2*full, modelTime, 10*time.Second)
+		m.run(modelTime)
+		fmt.Printf("slot held to the end %-5v %.3f %.3f\n", hold,
+			float64(m.good["short"])/float64(m.offered["short"]), float64(m.good["feeds"])/float64(m.offered["feeds"]))
+	}
+	fmt.Println("2,000 feeds come back at once, short requests at load 0.6: share of short in the first 2 s, feeds opened, refused")
+	m := newModel(1, newOurs(1))
+	m.returns, m.patience = true, time.Second
+	m.arrive("short", 0.6*full, 2*time.Second)
+	for range 2000 {
+		m.arriveFlows("feeds", 0.0001, 0, time.Hour)
+	}
+	m.run(60 * time.Second)
+	fmt.Printf("%.3f %d %d\n", float64(m.good["short"])/float64(m.offered["short"]), m.good["feeds"], m.refusals)
+}
+
 func TestMeasureRetries(t *testing.T) {
 	if !*measure {
 		return
