--- a/internal/tracing/tracing_test.go
+++ b/internal/tracing/tracing_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 
@@ -176,3 +178,60 @@
 	}
 	return m.GetCounter().GetValue()
 }
+
+// TestOTLP sends spans to a collector over HTTP.
+func TestOTLP(t *testing.T) {
+	paths := make(chan string, 1)
+	collector := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		paths <- r.URL.Path
+	}))
+	defer collector.Close()
+	p, err := Open(Config{Exporter: collector.URL, Sample: 1, Role: "agent"}, prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, span := p.Tracer().Start(context.Background(), "x")
+	span.End()
+	if err := p.Close(context.Background()); err != nil {
+		t.Error(err)
+	}
+	if got := <-paths; got != otlpPath {
+		t.Errorf("spans sent to %s, want %s", got, otlpPath)
+	}
+}
+
+// TestCollectorDown: the process runs on, and the loss is counted.
+func TestCollectorDown(t *testing.T) {
+	collector := httptest.NewServer(http.NotFoundHandler())
+	collector.Close()
+	e, err := newExporter(collector.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q := newQueue(e, prometheus.NewRegistry())
+	p := New(Config{Sample: 1}, e, prometheus.NewRegistry())
+	q.OnEnd(endedSpan(p))
+	q.Shutdown(context.Background())
+	if n := counted(t, q.failed); n != 1 {
+		t.Errorf("%v spans counted as failed, want 1", n)
+	}
+	p.Close(context.Background())
+}
+
+func TestOffIsNil(t *testing.T) {
+	p, err := Open(Config{Exporter: Off}, prometheus.NewRegistry())
+	if p != nil || err != nil {
+		t.Fatalf("%v %v", p, err)
+	}
+	h := http.NotFoundHandler()
+	if p.On() || p.Sample() != 0 || p.Close(context.Background()) != nil {
+		t.Error("off does something")
+	}
+	_, span := p.Tracer().Start(context.Background(), "x")
+	if span.IsRecording() {
+		t.Error("a span is recorded while off")
+	}
+	if p.Wrap(h, nil) == nil {
+		t.Error("no handler")
+	}
+}
