hemlock-lab becomes a tool with placement and admission

Cause: the admission model and its measurements lived in test files, so users of the library and operators couldn't run them.

Change: package admission/lab holds the model, the compared policies and eight experiments; lab/simtime is its clock, lab/figure its figures and the output of every tool. hemlock-lab takes a tool as its first word; flags are read through internal/settings, with HEMLOCK_LAB_ as the prefix of variables (was HEMLOCK_). A wrong flag no longer prints all settings to standard output: for all programs one line says what is wrong.

--- /dev/null
+++ b/cmd/hemlock-lab/common.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/hemlockscale/hemlockscale/internal/settings"
+	"github.com/hemlockscale/hemlockscale/lab/figure"
+)
+
+// common are the flags of every tool.
+type common struct {
+	seed   uint64
+	output string
+}
+
+// newSet returns the flags of a tool with the common ones.
+func (c *common) newSet(tool, summary string) *settings.Set {
+	fs := settings.New(program+" "+tool, "HEMLOCK_LAB", summary)
+	fs.Uint64Var(&c.seed, "seed", 1, "seed; the same seed gives the same figures")
+	fs.StringVar(&c.output, "o", figure.Table, "output: table or csv")
+	return fs
+}
+
+func (c *common) parse(fs *settings.Set, args []string) error {
+	if err := fs.Parse(args); err != nil {
+		return err
+	}
+	if c.output != figure.Table && c.output != figure.CSV {
+		return &settings.Error{Setting: "o", Reason: fmt.Sprintf("%q is no form of output", c.output), Remedy: "give table or csv"}
+	}
+	return nil
+}
+
+// experiments is the tail of a tool that runs experiments: which are run, and
+// what they give.
+type experiments[C any] struct {
+	common
+	all   []figure.Experiment[C]
+	names []string
+}
+
+// newSet adds the flag that chooses experiments, with what each tells.
+func (e *experiments[C]) newSet(tool, summary string) *settings.Set {
+	fs := e.common.newSet(tool, summary)
+	var help strings.Builder
+	help.WriteString("experiments to run, separated by commas; empty is all:")
+	for _, x := range e.all {
+		fmt.Fprintf(&help, "\n%s: %s", x.Name, x.Tell)
+	}
+	words(fs, &e.names, "experiments", help.String())
+	return fs
+}
+
+func (e *experiments[C]) run(c C, out io.Writer) error {
+	list, err := figure.Run(e.all, e.names, c)
+	if err != nil {
+		return err
+	}
+	return figure.Write(out, e.output, figure.Columns, figure.Rows(list))
+}
+
+// bounds returns a check that low <= value <= high.
+func bounds[T cmp.Ordered](setting string, value, low, high T) func() error {
+	return func() error {
+		if value >= low && value <= high {
+			return nil
+		}
+		return &settings.Error{Setting: setting, Reason: fmt.Sprintf("%v is out of range", value), Remedy: fmt.Sprintf("give %v to %v", low, high)}
+	}
+}
+
+// listValue is the flag of a list separated by commas.
+type listValue[T any] struct {
+	to    *[]T
+	parse func(string) (T, error)
+}
+
+func (l listValue[T]) String() string {
+	if l.to == nil {
+		return ""
+	}
+	return strings.ReplaceAll(strings.Trim(fmt.Sprint(*l.to), "[]"), " ", ",")
+}
+
+// Set replaces the list; the flag package words the error.
+func (l listValue[T]) Set(s string) error {
+	*l.to = nil
+	for _, part := range strings.Split(s, ",") {
+		part = strings.TrimSpace(part)
+		if part == "" {
+			continue
+		}
+		v, err := l.parse(part)
+		if err != nil {
+			return err
+		}
+		*l.to = append(*l.to, v)
+	}
+	return nil
+}
+
+func words(fs *settings.Set, to *[]string, name, usage string) {
+	fs.Var(listValue[string]{to, func(s string) (string, error) { return s, nil }}, name, usage)
+}
+
+func numbers(fs *settings.Set, to *[]float64, name, usage string) {
+	fs.Var(listValue[float64]{to, func(s string) (float64, error) { return strconv.ParseFloat(s, 64) }}, name, usage)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,21 +38,24 @@
 	*flag.FlagSet
 	program string
 	prefix  string
+	summary string
 	version bool
 }
 
 // New returns the empty settings of a program. Each flag -some-name is also
 // read from the environment variable PREFIX_SOME_NAME; a flag goes first.
 func New(program, prefix, summary string) *Set {
-	s := &Set{FlagSet: flag.NewFlagSet(program, flag.ContinueOnError), program: program, prefix: prefix}
+	s := &Set{FlagSet: flag.NewFlagSet(program, flag.ContinueOnError), program: program, prefix: prefix, summary: summary}
 	s.SetOutput(io.Discard)
 	s.BoolVar(&s.version, "version", false, "print the version and exit")
-	s.FlagSet.Usage = func() { s.usage(summary) }
+	// The flag package calls Usage for each wrong flag too: pages of settings
+	// would bury the line that says what is wrong. Parse answers -h itself.
+	s.FlagSet.Usage = func() {}
 	return s
 }
 
-func (s *Set) usage(summary string) {
-	fmt.Fprintf(os.Stdout, "%s: %s\n\nEach setting is a flag or an environment variable %s_NAME.\n\n", s.program, summary, s.prefix)
+func (s *Set) usage() {
+	fmt.Fprintf(os.Stdout, "%s: %s\n\nEach setting is a flag or an environment variable %s_NAME.\n\n", s.program, s.summary, s.prefix)
 	s.SetOutput(os.Stdout)
 	s.PrintDefaults()
 }
@@ -67,6 +70,7 @@
 	}
 	err := ff.Parse(s.FlagSet, args, ff.WithEnvVarPrefix(s.prefix))
 	if errors.Is(err, flag.ErrHelp) {
+		s.usage()
 		return ErrDone
 	}
 	if err != nil {
--- /dev/null
+++ b/lab/simtime/simtime.go
@@ -0,0 +1,83 @@
+// Package simtime runs events in simulated time: one process, one goroutine,
+// the same order in every run. Models and in-memory exchanges of messages are
+// built on it.
+package simtime
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Epoch is the simulated time at which a new clock stands.
+var Epoch = time.Unix(1_700_000_000, 0)
+
+// Clock holds the simulated time and the events that are still to come. It
+// isn't safe for concurrent use.
+type Clock struct {
+	now    time.Time
+	events events
+	seq    uint64
+}
+
+// New returns a clock that stands at Epoch.
+func New() *Clock { return &Clock{now: Epoch} }
+
+// Now returns the simulated time.
+func (c *Clock) Now() time.Time { return c.now }
+
+// Elapsed returns the simulated time since Epoch.
+func (c *Clock) Elapsed() time.Duration { return c.now.Sub(Epoch) }
+
+// After runs do when d has passed. Events of one moment run in the order in
+// which they were set.
+func (c *Clock) After(d time.Duration, do func()) {
+	c.seq++
+	heap.Push(&c.events, event{c.now.Add(d), c.seq, do})
+}
+
+// Run runs the events of the next d. It stops early after the event from which
+// on done, if given, holds, and reports whether done held.
+func (c *Clock) Run(d time.Duration, done func() bool) bool {
+	end := c.now.Add(d)
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.do()
+		if done != nil && done() {
+			return true
+		}
+	}
+	c.now = end
+	return false
+}
+
+type event struct {
+	at  time.Time
+	seq uint64
+	do  func()
+}
+
+// events is a heap by time; seq orders events of one moment, without which
+// their order would depend on the heap's shape and differ with every change.
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].seq < e[j].seq
+	}
+	return e[i].at.Before(e[j].at)
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*e = old[:len(old)-1]
+	return x
+}
