Placement as measured in the daemons: a meter, and flows sent back

Change: flows.place runs both decisions, the header carries the primary's occupancy with a hand-on and a flag when the flow comes back; the demo leaves the drained backend server out of its imbalance. Conclusion: the decisions are those of package placement, no second copy.

--- a/cmd/hemlock-demo/report.go
+++ b/cmd/hemlock-demo/report.go
@@ -22,7 +22,7 @@
 			twice, lost := compare(t, u.load.journaled(s.Name))
 			fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%s\t%s\n",
 				s.Name, t.calls, t.whole, t.refused, t.unknown, t.broken, t.wrong, t.flows, t.wholeFlows,
-				twice, lost, imbalance(t.byServer), microseconds(t.latency.ValueAtQuantile(50)), microseconds(t.latency.ValueAtQuantile(99)))
+				twice, lost, imbalance(t.byServer, u.drained), microseconds(t.latency.ValueAtQuantile(50)), microseconds(t.latency.ValueAtQuantile(99)))
 			kept = kept && t.broken == 0 && t.wrong == 0 && t.flows == t.wholeFlows && twice == 0 && lost == 0
 		}
 	}
@@ -61,17 +61,22 @@
 	return twice, lost
 }
 
-// imbalance returns the calls of the busiest backend server over the mean.
-func imbalance(byServer map[string]int) float64 {
-	total, most := 0, 0
-	for _, n := range byServer {
+// imbalance returns the calls of the busiest backend server over the mean, of
+// those that stayed for the whole run.
+func imbalance(byServer map[string]int, left string) float64 {
+	total, most, servers := 0, 0, 0
+	for name, n := range byServer {
+		if name == left {
+			continue
+		}
 		total += n
 		most = max(most, n)
+		servers++
 	}
 	if total == 0 {
 		return 0
 	}
-	return float64(most) * float64(len(byServer)) / float64(total)
+	return float64(most) * float64(servers) / float64(total)
 }
 
 func microseconds(n int64) time.Duration {
--- a/cmd/hemlock-demo/user.go
+++ b/cmd/hemlock-demo/user.go
@@ -10,11 +10,13 @@
 
 // user is one user's deployment and the load on it.
 type user struct {
-	name  string
-	cfg   deployment.Config
-	dep   *deployment.Deployment
-	load  *load
-	force time.Duration // from the answer to the edit until all balancers have it in force
+	name string
+	cfg  deployment.Config
+	dep  *deployment.Deployment
+	load *load
+	// drained is the backend server that left during the run.
+	drained string
+	force   time.Duration // from the answer to the edit until all balancers have it in force
 }
 
 func newUser(name string, cfg deployment.Config) *user {
@@ -70,6 +72,7 @@
 // drainAgent begins a graceful stop; it ends when the agent's flows have.
 func (u *user) drainAgent(ctx context.Context) error {
 	a := u.dep.Agents[0]
+	u.drained = a.Backend.Name()
 	u.load.background(func() { a.Stop(ctx) })
 	return nil
 }
--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -14,36 +14,55 @@
 	"github.com/hemlockscale/hemlockscale/placement"
 )
 
-// flows decides which new flows this agent keeps. handOn is called by the
-// receive duty alone, load by any goroutine.
+// flows decides which new flows this agent keeps. place is called by the receive
+// duty alone, load by any goroutine, update and ended under the gate's lock.
 type flows struct {
+	self    netip.AddrPort
 	decider *placement.Decider
 	packet  quicwire.Packet
+	meter   placement.Meter
 	conns   atomic.Int64 // limit of the catalogue entry
 	level   atomic.Uint32
 	leaving atomic.Bool
 }
 
-func newFlows(g *gate) *flows {
-	f := &flows{decider: placement.NewDecider(rand.Uint64(), placement.DeciderOptions{})}
+func newFlows(g *gate, self netip.AddrPort) *flows {
+	f := &flows{self: self, decider: placement.NewDecider(rand.Uint64(), placement.DeciderOptions{})}
 	f.conns.Store(catalogue.DefaultConnections)
 	g.changed = f.update
+	g.ended = f.ended
 	return f
 }
 
-// handOn implements firstPacketPolicy.
-func (f *flows) handOn(h *frame.Header, packet []byte) (netip.AddrPort, bool) {
+// place implements firstPacketPolicy. A flow is handed on once and may be sent
+// back once, by an agent that is busier than the one it came from.
+func (f *flows) place(h *frame.Header, packet []byte) (to netip.AddrPort, elsewhere bool) {
 	if !quicwire.Parse(packet, connid.Len, &f.packet) {
 		return netip.AddrPort{}, false
 	}
-	alt := placement.Alternate{Addr: h.Alternate, Occupancy: placement.Occupancy(h.Load)}
-	has := h.Flags&frame.FlagAlternate != 0
-	d := f.decider.Decide(time.Now(), f.packet.ID, f.occupancy(), alt, has)
-	return d.To, d.HandOn
+	now := time.Now()
+	if h.Flags&frame.FlagReturned != 0 {
+		f.decider.Keep(now, f.packet.ID)
+		return netip.AddrPort{}, false
+	}
+	own := f.occupancy()
+	other := placement.Alternate{Addr: h.Alternate, Occupancy: placement.Occupancy(h.Load)}
+	d := f.decider.Decide(now, f.packet.ID, own, other, h.Flags&frame.FlagAlternate != 0)
+	if !d.HandOn {
+		return netip.AddrPort{}, false
+	}
+	if h.Flags&frame.FlagHandedOn != 0 {
+		h.Flags |= frame.FlagReturned
+		return d.To, true
+	}
+	h.Flags |= frame.FlagHandedOn
+	h.Alternate = f.self
+	h.Load = byte(own)
+	return d.To, true
 }
 
 // update takes in the gate's counts after each change of them.
-func (f *flows) update(l admission.Load) {
+func (f *flows) update(now time.Time, l admission.Load) {
 	usage := placement.Usage{
 		SlotsBusy:      l.Slots,
 		Slots:          l.Limit,
@@ -52,7 +71,15 @@
 		MaxConnections: int(f.conns.Load()),
 		Draining:       l.Draining,
 	}
-	f.level.Store(uint32(usage.Occupancy()))
+	f.level.Store(uint32(f.meter.Occupancy(now, usage)))
+}
+
+// ended takes in how the backend server ended a request.
+func (f *flows) ended(now time.Time, o admission.Outcome) {
+	if o == admission.Canceled {
+		return // it says nothing of the backend server
+	}
+	f.meter.Done(now, o != admission.OK)
 }
 
 func (f *flows) occupancy() placement.Occupancy {
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -19,8 +19,9 @@
 	budget  admission.Budget
 	waiting map[uint64]chan admission.Effect
 	effects []admission.Effect
-	changed func(admission.Load) // told the counts after each change of them
-	open    sync.WaitGroup       // requests between enter and the end of their permit
+	changed func(time.Time, admission.Load)    // told the counts after each change of them
+	ended   func(time.Time, admission.Outcome) // told how each request ended
+	open    sync.WaitGroup                     // requests between enter and the end of their permit
 }
 
 func newGate(cfg admission.Config) *gate {
@@ -45,7 +46,12 @@
 // done gives the permit back. Only the first call counts.
 func (p *permit) done(r admission.Result) {
 	p.once.Do(func() {
-		p.gate.do(func(c *admission.Controller, now time.Time) { c.Done(now, p.id, r) })
+		p.gate.do(func(c *admission.Controller, now time.Time) {
+			c.Done(now, p.id, r)
+			if p.gate.ended != nil {
+				p.gate.ended(now, r.Outcome)
+			}
+		})
 		p.gate.open.Done()
 	})
 }
@@ -119,7 +125,8 @@
 		}
 	}
 	if g.changed != nil {
-		g.changed(g.ctrl.Load(time.Now()))
+		now := time.Now()
+		g.changed(now, g.ctrl.Load(now))
 	}
 }
 
--- a/internal/agent/packetconn.go
+++ b/internal/agent/packetconn.go
@@ -32,8 +32,9 @@
 
 // firstPacketPolicy decides where a flow's first packet goes.
 type firstPacketPolicy interface {
-	// handOn returns the agent that takes the flow instead of this one.
-	handOn(h *frame.Header, packet []byte) (to netip.AddrPort, ok bool)
+	// place returns the agent that the packet goes on to and marks it in the
+	// header, or reports that the flow stays here.
+	place(h *frame.Header, packet []byte) (to netip.AddrPort, elsewhere bool)
 	// load returns the occupancy that goes with return datagrams.
 	load() byte
 }
@@ -128,9 +129,8 @@
 		return
 	}
 	packet := b[frame.Len:]
-	if h.Flags&frame.FlagFirst != 0 && h.Flags&frame.FlagHandedOn == 0 {
-		if to, ok := c.policy.handOn(h, packet); ok {
-			h.Flags |= frame.FlagHandedOn
+	if h.Flags&frame.FlagFirst != 0 {
+		if to, elsewhere := c.policy.place(h, packet); elsewhere {
 			c.in.Put(b, h)
 			w.Add(b, to, netip.Addr{})
 			c.metrics.handedOn.Inc()
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -27,13 +27,17 @@
 
 // Flags of a header.
 const (
-	// FlagHandedOn marks a first packet that one agent has already handed on:
-	// the receiver keeps it or refuses it, so that no packet circles.
+	// FlagHandedOn marks a first packet that one agent has already handed on.
+	// Alternate and Load are then that agent and its occupancy. The receiver
+	// keeps it or sends it back, so that no packet circles.
 	FlagHandedOn byte = 1 << 0
 	// FlagSampled marks the first packet of a flow whose path is traced.
 	FlagSampled byte = 1 << 1
 	// FlagFirst marks a packet routed by the caller's own connection ID.
 	FlagFirst byte = 1 << 2
+	// FlagReturned marks a handed-on packet that came back: the agent that it
+	// was handed on to is the busier one. It is kept by whoever gets it.
+	FlagReturned byte = 1 << 4
 	// FlagAlternate says that Alternate and Load name another agent.
 	FlagAlternate byte = 1 << 3
 )
