--- a/cmd/hemlock-balancer/main.go
+++ b/cmd/hemlock-balancer/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,6 +26,7 @@
 	daemon   daemon.Config
 	trace    tracing.Config
 	drain    time.Duration
+	memory   int64 // soft limit in bytes, 0 for none
 }
 
 func main() {
@@ -49,6 +51,7 @@
 	s.StringVar(&cfg.balancer.Region, "region", "", "region of this VM")
 	s.DurationVar(&cfg.balancer.Linger, "linger", 3*time.Second, "how long to go on forwarding after SIGTERM")
 	s.DurationVar(&cfg.drain, "drain", 30*time.Second, "limit of a graceful stop")
+	memory := s.Int64("memory-limit", 44, "soft limit of the memory that the program manages, in MiB; the program's own text comes on top; 0 is no limit")
 	admin := s.String("admin", "127.0.0.1:0", "TCP address of metrics, readiness and status")
 	s.StringVar(&cfg.daemon.Level, "log-level", "info", "debug, info, warn or error")
 	s.StringVar(&cfg.trace.Exporter, "trace", tracing.Off, "where spans go: off, stderr, or the URL of an OTLP collector like http://127.0.0.1:4318")
@@ -57,6 +60,10 @@
 		return cfg, err
 	}
 	cfg.daemon.Role = "balancer"
+	cfg.memory = *memory << 20
+	if *memory < 0 {
+		return cfg, &settings.Error{Setting: "memory-limit", Reason: "negative", Remedy: "give MiB, or 0 for no limit"}
+	}
 	cfg.trace.Role, cfg.trace.Zone = "balancer", cfg.balancer.Zone
 	return cfg, settings.First(
 		cfg.trace.Check,
@@ -75,6 +82,9 @@
 }
 
 func serve(cfg config) error {
+	if cfg.memory > 0 {
+		debug.SetMemoryLimit(cfg.memory)
+	}
 	d, err := daemon.New(cfg.daemon)
 	if err != nil {
 		return err
