hemlock-lab catalogue: spread, fanout, bulk edits and cold start

Cause: the catalogue's exchange and the measurements on it lived in test files, out of reach of users of the library.

Change: package catalogue/lab holds the exchange (on lab/simtime and lab/exchange, which membership/lab uses too), a writer of valid changes, and four experiments with typed results; 'hemlock-lab catalogue' runs them. Tests of the exchange moved to package catalogue_test with their checks as they were. The writer draws its edit IDs from its state: with random ones, bulk streams and their times differed from run to run, which TestSameSeedSameFigures found. figure.Guard checks configs and returns a model's fault for all three labs. Benchmarks of the store's calls stay in the test files with the store that they need, as does a small writer for tests inside the package.

Seen red: NeedsBulk() that never asks fails TestReplicasConverge, TestEmptyReplicaLoadsFromPeers, TestForkIsResolvedTowardsStore, TestReturningNodesCatchUp, TestEveryChangeComesIntoForce, TestColdStart; Tick() that does nothing fails three of these and TestReplicasNeverRevert.

--- a/admission/lab/experiment.go
+++ b/admission/lab/experiment.go
@@ -30,14 +30,8 @@
 		Tell: "attempts per offered request while all fail"},
 }
 
-// checked lets run see no config that can't be used.
 func checked(run func(Config) []figure.Figure) func(Config) ([]figure.Figure, error) {
-	return func(c Config) ([]figure.Figure, error) {
-		if err := c.check(); err != nil {
-			return nil, err
-		}
-		return run(c), nil
-	}
+	return figure.Guard[*ConfigError](Config.check, run)
 }
 
 func share(where, quantity string, v float64) figure.Figure {
--- a/catalogue/interim_test.go
+++ b/catalogue/interim_test.go
@@ -35,7 +35,7 @@
 	if _, ok := i.Entry("records"); !ok || i.Receive(holding(t, moved, 8)) {
 		t.Error("an older claim counts as news, or the entry is missing")
 	}
-	r := newExchange(2, 0, 1, ReplicaConfig{}).nodes[0]
+	r := NewReplica(ReplicaConfig{Peers: noPeers})
 	r.Receive(epoch, nodeAddr(1), holding(t, moved, 9))
 	if len(r.Outgoing()) > 0 {
 		t.Error("a replica takes an agent for a replica and asks it for changes")
--- a/cmd/hemlock-lab/main_test.go
+++ b/cmd/hemlock-lab/main_test.go
@@ -19,6 +19,7 @@
 		"admission -slots 0", "admission -loads x", "admission -loads 0", "admission -policies best",
 		"admission -experiments no-such", "admission -duration 1ms", "admission -o xml", "admission extra",
 		"membership -sizes 1", "membership -losses 1", "membership -duration 1s", "membership -experiments no-such",
+		"catalogue -sizes 1", "catalogue -losses 1", "catalogue -changes -1", "catalogue -experiments no-such",
 		"no-such", "", "-agents 7",
 	} {
 		err := run(strings.Fields(line), io.Discard)
--- a/lab/figure/experiment.go
+++ b/lab/figure/experiment.go
@@ -58,3 +58,26 @@
 	}
 	return list, nil
 }
+
+// Guard returns run so that it sees no config that check refuses, and so that a
+// panic with an F, which is how a model ends a run that can't go on, is
+// returned as an error.
+func Guard[F error, C any](check func(C) error, run func(C) []Figure) func(C) ([]Figure, error) {
+	return func(c C) (list []Figure, err error) {
+		if err := check(c); err != nil {
+			return nil, err
+		}
+		defer func() {
+			r := recover()
+			if r == nil {
+				return
+			}
+			fault, ok := r.(F)
+			if !ok {
+				panic(r)
+			}
+			err = fault
+		}()
+		return run(c), nil
+	}
+}
--- a/membership/lab/experiment.go
+++ b/membership/lab/experiment.go
@@ -77,22 +77,6 @@
 	{Name: "suspicions", Run: checked(suspicions), Tell: "verdicts on healthy processes under loss and pauses"},
 }
 
-// checked lets run see no config that can't be used, and returns the fault of
-// a run as an error.
 func checked(run func(Config) []figure.Figure) func(Config) ([]figure.Figure, error) {
-	return func(c Config) (list []figure.Figure, err error) {
-		if err := c.check(); err != nil {
-			return nil, err
-		}
-		defer func() {
-			if r := recover(); r != nil {
-				fault, ok := r.(*FaultError)
-				if !ok {
-					panic(r)
-				}
-				err = fault
-			}
-		}()
-		return run(c), nil
-	}
+	return figure.Guard[*FaultError](Config.check, run)
 }
