--- a/test/perf/calls_test.go
+++ b/test/perf/calls_test.go
@@ -10,10 +10,13 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"github.com/hemlockscale/hemlockscale/catalogue"
 	"github.com/hemlockscale/hemlockscale/internal/standin/caller"
 	"github.com/hemlockscale/hemlockscale/internal/standin/deployment"
+	"github.com/hemlockscale/hemlockscale/internal/tracing"
 )
 
 const (
@@ -28,14 +31,20 @@
 
 var nets atomic.Uint32
 
-// start starts a deployment of one service.
+// start starts a deployment of one service without tracing.
 func start(b *testing.B, balancers, backends int) *deployment.Deployment {
+	b.Helper()
+	return startTraced(b, balancers, backends, nil)
+}
+
+func startTraced(b *testing.B, balancers, backends int, traces func(deployment.Role) *tracing.Provider) *deployment.Deployment {
 	b.Helper()
 	d, err := deployment.Start(deployment.Config{
 		Net:       byte(220 + nets.Add(1)%30),
 		Zones:     []string{"zone-a"},
 		Balancers: balancers,
 		Seed:      1,
+		Traces:    traces,
 		Services: []deployment.Service{{
 			Name: service, Owner: "exchange", Class: catalogue.ClassInteractive, Backends: backends,
 			Limits: catalogue.Limits{Slots: slots},
@@ -159,6 +168,23 @@
 	}
 }
 
+// BenchmarkCallsTraced compares calls of which every one is traced with calls
+// without tracing. The spans are made, queued and thrown away.
+func BenchmarkCallsTraced(b *testing.B) {
+	const callers = 1
+	providers := make(map[deployment.Role]*tracing.Provider)
+	for _, role := range []deployment.Role{deployment.RoleCaller, deployment.RoleBalancer, deployment.RoleAgent, deployment.RoleBackend} {
+		p := tracing.New(tracing.Config{Sample: 1, Role: string(role)}, tracetest.NewNoopExporter(), prometheus.NewRegistry())
+		b.Cleanup(func() { p.Close(context.Background()) })
+		providers[role] = p
+	}
+	off := start(b, 3, 1)
+	on := startTraced(b, 3, 1, func(r deployment.Role) *tracing.Provider { return providers[r] })
+	plain := newWay(b, "off", callers, card, func() (*caller.Caller, error) { return off.Caller(service) })
+	traced := newWay(b, "on", callers, card, func() (*caller.Caller, error) { return on.Caller(service) })
+	compare(b, plain, traced)
+}
+
 // BenchmarkIdempotencyKey compares non-idempotent calls without and with a key,
 // for which the service's agents vote before the request runs.
 func BenchmarkIdempotencyKey(b *testing.B) {
