--- a/membership/machine.go
+++ b/membership/machine.go
@@ -104,7 +104,7 @@
 	m.noticePause(now)
 	m.receivedAt = now
 	m.stats.ReceivedMessages++
-	m.stats.ReceivedBytes += uint64(wireSize(msg))
+	m.stats.ReceivedBytes += uint64(WireSize(msg))
 	if c := m.roster.find(keyOf(from)); c != nil {
 		m.reached(now, c)
 	}
@@ -134,11 +134,17 @@
 	return out
 }
 
+// maxKeptChanges is the largest memory for changes that is used again.
+const maxKeptChanges = 1024
+
 // Changes returns the changes of the roster since the last call, oldest first.
 // The slice is valid until the next call of any method.
 func (m *Machine) Changes() []Change {
 	changes := m.changes
 	m.changes = m.changes[:0]
+	if cap(changes) > maxKeptChanges {
+		m.changes = nil // a bulk transfer must not leave its size behind
+	}
 	return changes
 }
 
@@ -162,6 +168,13 @@
 	return m.roster.record(c), true
 }
 
+// ZoneReachable reports whether this balancer holds the zone of the process at
+// addr for reachable; false for a process that it doesn't know.
+func (m *Machine) ZoneReachable(addr netip.AddrPort) bool {
+	c := m.roster.find(keyOf(addr))
+	return c != nil && !m.roster.zones[c.zone].down
+}
+
 // Ready iterates over the agents of a service that take new work.
 func (m *Machine) Ready(service uint32) iter.Seq[Record] {
 	return func(yield func(Record) bool) {
@@ -209,11 +222,13 @@
 	return s
 }
 
-func wireSize(msg *Message) int { return msg.size() - sizeHead + sizeTypical + sizeOnWire }
+// WireSize returns the bytes that msg counts as on the wire: about its encoded
+// length, with seal, UDP and IP.
+func WireSize(msg *Message) int { return msg.size() - sizeHead + sizeTypical + sizeOnWire }
 
 // send puts one message into the outbox.
 func (m *Machine) send(to netip.AddrPort, msg *Message) {
-	n := wireSize(msg)
+	n := WireSize(msg)
 	m.charge(msg.Kind, float64(n))
 	m.stats.SentMessages++
 	m.stats.SentBytes += uint64(n)
@@ -221,11 +236,11 @@
 	m.out = append(m.out, Envelope{to, msg})
 }
 
-// charge takes n bytes from the budget. Reports and their acks are sent in any
-// case, and take at most half of it: where many agents report to a balancer,
+// charge takes n bytes from the budget. Reports, their acks and the questions
+// of observers are sent in any case, and take at most half of it: where many agents report to a balancer,
 // its gossip would otherwise wait for ever, seen as changes that reach nobody.
 func (m *Machine) charge(kind Kind, n float64) {
-	if kind <= KindAck {
+	if kind <= KindAck || kind == KindDoubt || kind == KindOpinion {
 		n = min(n, max(m.reports, 0))
 		m.reports -= n
 	}
