Deployments in one process take a free net of loopback addresses

Cause: with a fixed net two runs on one machine fail to bind (seen: three trace tests beside another run of the same tests). Change: FreeNet looks for addresses that can be bound. Conclusion: a race between looking and binding remains, and is small.

--- a/internal/standin/deployment/trace_test.go
+++ b/internal/standin/deployment/trace_test.go
@@ -55,8 +55,12 @@
 	}
 }
 
-func tracedDeployment(t *testing.T, net byte, r *recorder) *caller.Caller {
+func tracedDeployment(t *testing.T, r *recorder) *caller.Caller {
 	t.Helper()
+	net, err := FreeNet()
+	if err != nil {
+		t.Fatal(err)
+	}
 	d, err := Start(Config{
 		Net: net, Zones: []string{"zone-a"}, Balancers: 2, Seed: 1,
 		Services: []Service{{Name: "listing", Owner: "exchange", Class: catalogue.ClassInteractive, Backends: 1}},
@@ -82,7 +86,7 @@
 // the balancer learns the trace from the agent afterwards.
 func TestOneCallIsOneTraceOfFourHops(t *testing.T) {
 	r := newRecorder(t, 1)
-	c := tracedDeployment(t, 210, r)
+	c := tracedDeployment(t, r)
 	card(t, c, nil)
 	call := r.await(t, RoleCaller, 1)[0]
 	if call.Parent.IsValid() {
@@ -122,7 +126,7 @@
 	r := newRecorder(t, 1)
 	caller := r.providers[RoleCaller]
 	r.providers[RoleCaller] = nil
-	c := tracedDeployment(t, 211, r)
+	c := tracedDeployment(t, r)
 	card(t, c, http.Header{tracing.HeaderParent: {"00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-00"}})
 	ctx, span := caller.Tracer().Start(context.Background(), "end")
 	header := make(http.Header)
@@ -140,7 +144,7 @@
 // TestShareZeroTracesNothing: balancers mark no flow, so no agent traces one.
 func TestShareZeroTracesNothing(t *testing.T) {
 	r := newRecorder(t, 0)
-	c := tracedDeployment(t, 212, r)
+	c := tracedDeployment(t, r)
 	card(t, c, nil)
 	r.await(t, RoleCaller, 1)
 	for _, role := range []Role{RoleBalancer, RoleAgent} {
--- a/test/perf/calls_test.go
+++ b/test/perf/calls_test.go
@@ -29,8 +29,6 @@
 	maxLatency   = time.Minute
 )
 
-var nets atomic.Uint32
-
 // start starts a deployment of one service without tracing.
 func start(b *testing.B, balancers, backends int) *deployment.Deployment {
 	b.Helper()
@@ -39,8 +37,12 @@
 
 func startTraced(b *testing.B, balancers, backends int, traces func(deployment.Role) *tracing.Provider) *deployment.Deployment {
 	b.Helper()
+	net, err := deployment.FreeNet()
+	if err != nil {
+		b.Fatal(err)
+	}
 	d, err := deployment.Start(deployment.Config{
-		Net:       byte(220 + nets.Add(1)%30),
+		Net:       net,
 		Zones:     []string{"zone-a"},
 		Balancers: balancers,
 		Seed:      1,
