--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -94,7 +94,7 @@
 	FleetKey = "1:000102030405060708090a0b0c0d0e0f"
 	// atOnce bounds the fleets of one test run that run at a time, so that
 	// parallel tests do not starve each other of processor time.
-	atOnce = 4
+	atOnce = 6
 	// Limit bounds every wait on a condition. It is far above what a sound
 	// fleet takes on a busy machine.
 	Limit = 30 * time.Second
--- a/test/isolation_test.go
+++ b/test/isolation_test.go
@@ -212,6 +212,8 @@
 	var answered [2]atomic.Int64
 	var wg sync.WaitGroup
 	stop := make(chan struct{})
+	defer wg.Wait()
+	defer close(stop) // also when the test fails: callers that go on would hold it up
 	for i := range 8 {
 		wg.Go(func() {
 			service := []string{"listing", "records"}[i%2]
@@ -247,6 +249,4 @@
 	if n := answered[0].Load() - before; n > 0 {
 		t.Errorf("listing answered %d times at an address that it no longer has", n)
 	}
-	close(stop)
-	wg.Wait()
 }
