--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -16,10 +16,12 @@
 	mu      sync.Mutex
 	ctrl    *admission.Controller
 	nextID  uint64
+	budget  admission.Budget
 	waiting map[uint64]chan admission.Effect
 	effects []admission.Effect
-	changed func(admission.Load) // told the counts after each change of them
-	open    sync.WaitGroup       // requests between enter and the end of their permit
+	changed func(time.Time, admission.Load)    // told the counts after each change of them
+	ended   func(time.Time, admission.Outcome) // told how each request ended
+	open    sync.WaitGroup                     // requests between enter and the end of their permit
 }
 
 func newGate(cfg admission.Config) *gate {
@@ -44,7 +46,12 @@
 // done gives the permit back. Only the first call counts.
 func (p *permit) done(r admission.Result) {
 	p.once.Do(func() {
-		p.gate.do(func(c *admission.Controller, now time.Time) { c.Done(now, p.id, r) })
+		p.gate.do(func(c *admission.Controller, now time.Time) {
+			c.Done(now, p.id, r)
+			if p.gate.ended != nil {
+				p.gate.ended(now, r.Outcome)
+			}
+		})
 		p.gate.open.Done()
 	})
 }
@@ -118,7 +125,8 @@
 		}
 	}
 	if g.changed != nil {
-		g.changed(g.ctrl.Load(time.Now()))
+		now := time.Now()
+		g.changed(now, g.ctrl.Load(now))
 	}
 }
 
@@ -136,6 +144,21 @@
 	}
 }
 
+// offered counts a request's first attempt.
+func (g *gate) offered() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.Offered()
+}
+
+// retry reports whether a request may be attempted once more.
+func (g *gate) retry(r admission.Request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	return g.budget.Retry(now, r, g.ctrl.Load(now).ServiceTime)
+}
+
 // drain refuses new requests and waits until the open ones have ended.
 func (g *gate) drain(ctx context.Context) {
 	g.do(func(c *admission.Controller, _ time.Time) { c.Drain() })
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,10 +38,6 @@
 	OutcomeUnknown = "unknown" // it may have run; ask before sending it again
 )
 
-const copyBuffer = 32 << 10
-
-var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyBuffer); return &b }}
-
 // handler serves the requests of one service's callers.
 type handler struct {
 	entry   *atomic.Pointer[catalogue.Entry]
@@ -71,7 +66,8 @@
 	entry := h.entry.Load()
 	ctx, header := withHeaderDeadline(r, entry)
 	defer header.stop()
-	permit, err := h.gate.enter(ctx, admissionRequest(r, entry, header.deadline))
+	request := admissionRequest(r, entry, header.deadline)
+	permit, err := h.gate.enter(ctx, request)
 	if err != nil {
 		h.refuse(w, refusalFault(err))
 		return
@@ -83,7 +79,7 @@
 		h.refuse(w, fault)
 		return
 	}
-	resp, err := h.backend.do(ctx, r, outHeader(r, header.deadline))
+	resp, err := h.call(ctx, r, request)
 	if err != nil {
 		failed := callFailed(err)
 		claim.finish(stateOfFailure(failed), 0)
@@ -100,6 +96,23 @@
 	permit.done(result(resp))
 }
 
+// call sends a request to the backend server. A safe one that got no answer,
+// for example because its connection was closed under it, is sent once more if
+// the retry budget allows: without a budget a backend server that fails would
+// get twice its load at the worst time.
+func (h *handler) call(ctx context.Context, r *http.Request, request admission.Request) (*http.Response, error) {
+	h.gate.offered()
+	resp, err := h.backend.do(ctx, r, outHeader(r, request.Deadline))
+	if err == nil || ctx.Err() != nil || !safeMethod(r.Method) || r.ContentLength > 0 {
+		return resp, err
+	}
+	if !h.gate.retry(request) {
+		return nil, err
+	}
+	h.metrics.retries.Inc()
+	return h.backend.do(ctx, r, outHeader(r, request.Deadline))
+}
+
 // claim asks for the right to run a non-idempotent request with a key. A
 // request without a key is run once by never being sent again.
 func (h *handler) claim(ctx context.Context, r *http.Request, e *catalogue.Entry) (*claim, *Fault) {
@@ -223,16 +236,16 @@
 
 // copyBody copies an answer's body. flush sends each part on as it comes.
 func copyBody(w http.ResponseWriter, body io.Reader, flush bool) error {
-	buf := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(buf)
+	var buf copyBuffer
+	defer buf.free()
 	rc := http.NewResponseController(w)
 	if flush {
 		rc.Flush() // the header goes out before the first part
 	}
 	for {
-		n, err := body.Read(*buf)
+		n, err := body.Read(buf.next())
 		if n > 0 {
-			if _, werr := w.Write((*buf)[:n]); werr != nil {
+			if _, werr := w.Write(buf.took(n)); werr != nil {
 				return werr
 			}
 			if flush {
