Tests that fail end their callers

Cause: TestAddressMovedBetweenServices, made red, hung until the limit of the run; TestPlannedStopCutsNoRequest and TestScheduleOfFaults had the same shape. Change: both end their callers also when they fail.

--- a/test/leave_test.go
+++ b/test/leave_test.go
@@ -160,7 +160,10 @@
 	defer cancel()
 	var answered, refused, failed atomic.Int64
 	stop := make(chan struct{})
+	halt := sync.OnceFunc(func() { close(stop) })
 	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer halt() // also when the test fails: callers that go on would hold it up
 	for i := range 8 {
 		wg.Go(func() {
 			c := f.Caller("listing")
@@ -199,7 +202,7 @@
 		}
 		more()
 	}
-	close(stop)
+	halt()
 	wg.Wait()
 	t.Logf("answered %d, refused as not run %d, failed %d", answered.Load(), refused.Load(), failed.Load())
 }
--- a/test/schedule_test.go
+++ b/test/schedule_test.go
@@ -114,6 +114,7 @@
 	t.Logf("seed %d, %v minutes", *faultsSeed, *faultsMinutes)
 	end := time.Now().Add(time.Duration(*faultsMinutes * float64(time.Minute)))
 	w := newWork(t, f)
+	defer w.halt() // also when the test fails: callers that go on would hold it up
 	for n := 0; time.Now().Before(end); n++ {
 		s.round(n)
 	}
@@ -126,6 +127,7 @@
 	f                      *fleet.Fleet
 	wg                     sync.WaitGroup
 	stop                   chan struct{}
+	once                   sync.Once
 	flows, answers, failed atomic.Int64
 	mu                     sync.Mutex
 	notRun                 []string
@@ -195,10 +197,16 @@
 	}
 }
 
+// halt ends the work and waits for it.
+func (w *work) halt() {
+	w.once.Do(func() { close(w.stop) })
+	w.wg.Wait()
+}
+
+// finish ends the work and checks what callers were told.
 func (w *work) finish() {
 	w.t.Helper()
-	close(w.stop)
-	w.wg.Wait()
+	w.halt()
 	expectOnce(w.t, w.f)
 	journal := runs(w.f)
 	for _, key := range w.notRun {
