TCP links behind a fault-injecting proxy

Cause: the links to the store and to backend servers were disturbed by the stand-ins' own faults only, which end at a request and not in a connection.

--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,6 +42,9 @@
 	Services  []Service
 	Zones     []string // balancers and agents take turns; default one zone
 	Seed      uint64
+	// Links puts a fault-injecting proxy before the store and before each
+	// backend server.
+	Links bool
 	// RepeatWindow is the window in which a key runs at most once; default
 	// DefaultRepeatWindow. Starting a fleet takes a little longer than it.
 	RepeatWindow time.Duration
@@ -57,6 +61,7 @@
 	Internal netip.AddrPort
 	Admin    string
 	Backend  *backend.Server
+	Link     *Link // to the backend server; nil unless Config.Links
 	env      map[string]string
 }
 
@@ -74,6 +79,7 @@
 	T         testing.TB
 	Store     *standin.Server
 	StoreURL  string
+	StoreLink *Link // nil unless Config.Links
 	Editor    *catalogue.Editor
 	Fabric    *fabric.Fabric
 	Balancers []*Balancer
@@ -154,6 +160,10 @@
 	f.T.Cleanup(server.CloseClientConnections)
 	f.T.Cleanup(server.Close)
 	f.StoreURL = server.URL
+	if f.cfg.Links {
+		f.StoreLink = newLink(f.T, "store", strings.TrimPrefix(server.URL, "http://"))
+		f.StoreURL = "http://" + f.StoreLink.Addr()
+	}
 	client, err := store.New(store.Config{URL: server.URL})
 	if err != nil {
 		f.T.Fatal(err)
@@ -259,6 +269,11 @@
 		Admin:    netip.AddrPortFrom(f.addr(2, i), adminPort).String(),
 		Backend:  server,
 	}
+	backendAddr := server.Addr()
+	if f.cfg.Links {
+		a.Link = newLink(f.T, server.Name(), backendAddr)
+		backendAddr = a.Link.Addr()
+	}
 	cert, key, err := f.authority.Issue(s.Name)
 	if err != nil {
 		f.T.Fatal(err)
@@ -268,7 +283,7 @@
 		"HEMLOCK_AGENT_BALANCERS":        f.seeds(),
 		"HEMLOCK_AGENT_STORE":            f.StoreURL,
 		"HEMLOCK_AGENT_FLEET_KEY":        f.fleetKey,
-		"HEMLOCK_AGENT_BACKEND":          "http://" + server.Addr(),
+		"HEMLOCK_AGENT_BACKEND":          "http://" + backendAddr,
 		"HEMLOCK_AGENT_SERVICE":          s.Name,
 		"HEMLOCK_AGENT_ZONE":             f.cfg.Zones[i%len(f.cfg.Zones)],
 		"HEMLOCK_AGENT_ADMIN":            a.Admin,
