A flow that was kept counts as a request until it has one

Cause: under overload one of three agents got 64 of 75 callers, one 19 and one none: they connected within milliseconds, load was counted in requests, and no request had come when the last was placed. Callers keep their connection, so the idle backend server stayed idle. Ruled out: the concurrency limit (all refusals were queue_full at the two others). Change: the agent adds the flows that it kept in the last 250 to 500 ms to its occupancy, each as one request. The lab's callers come one by one and don't show this.

--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -23,9 +23,34 @@
 	meter   placement.Meter
 	conns   atomic.Int64 // limit of the catalogue entry
 	level   atomic.Uint32
+	step    atomic.Uint32 // what one more request would add to level
+	fresh   freshFlows
 	leaving atomic.Bool
 }
 
+// freshTime is how long a flow that was kept counts as one request. After that
+// its requests count by themselves.
+const freshTime = 250 * time.Millisecond
+
+// freshFlows counts the flows kept in the last freshTime. A flow has no request
+// until its handshake is over; without the count an agent that callers turn to
+// all at once looks idle to each of them, and flows stay where they were placed.
+type freshFlows struct {
+	at        atomic.Int64 // beginning of the present period, Unix nanoseconds
+	now, past atomic.Int64 // flows kept in the present period and the one before
+}
+
+// turn begins a new period when the present one is over. One goroutine calls it.
+func (f *freshFlows) turn(now time.Time) {
+	if now.UnixNano()-f.at.Load() < int64(freshTime) {
+		return
+	}
+	f.at.Store(now.UnixNano())
+	f.past.Store(f.now.Swap(0))
+}
+
+func (f *freshFlows) count() int64 { return f.now.Load() + f.past.Load() }
+
 func newFlows(g *gate, self netip.AddrPort) *flows {
 	f := &flows{self: self, decider: placement.NewDecider(rand.Uint64(), placement.DeciderOptions{})}
 	f.conns.Store(catalogue.DefaultConnections)
@@ -49,6 +74,7 @@
 	other := placement.Alternate{Addr: h.Alternate, Occupancy: placement.Occupancy(h.Load)}
 	d := f.decider.Decide(now, f.packet.ID, own, other, h.Flags&frame.FlagAlternate != 0)
 	if !d.HandOn {
+		f.fresh.now.Add(1)
 		return netip.AddrPort{}, false
 	}
 	if h.Flags&frame.FlagHandedOn != 0 {
@@ -72,6 +98,10 @@
 		Draining:       l.Draining,
 	}
 	f.level.Store(uint32(f.meter.Occupancy(now, usage)))
+	f.fresh.turn(now)
+	more := usage
+	more.Queue++
+	f.step.Store(uint32(max(1, int(more.Occupancy())-int(usage.Occupancy()))))
 }
 
 // ended takes in how the backend server ended a request.
@@ -86,7 +116,12 @@
 	if f.leaving.Load() {
 		return placement.Full
 	}
-	return placement.Occupancy(f.level.Load())
+	level := int64(f.level.Load())
+	if level == int64(placement.Full) {
+		return placement.Full
+	}
+	level += f.fresh.count() * int64(f.step.Load())
+	return placement.Occupancy(min(level, int64(placement.Full)-1))
 }
 
 // load implements firstPacketPolicy.
