--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -170,13 +170,20 @@
 	return nil
 }
 
-// connContext counts a connection until its end.
+// connContext counts a connection until its end, or refuses it.
 func (a *Agent) connContext(ctx context.Context, c *quic.Conn) context.Context {
-	name := c.RemoteAddr().String()
-	a.gate.do(func(g *admission.Controller, now time.Time) { g.OpenConn(now, name) })
+	owner := addrOf(c.RemoteAddr()).String()
+	var refusal admission.Refusal
+	var ok bool
+	a.gate.do(func(g *admission.Controller, now time.Time) { refusal, ok = g.OpenConn(now, owner) })
+	if !ok {
+		a.metrics.refusals.WithLabelValues("connections").Inc()
+		c.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeExcessiveLoad), refusal.Error())
+		return ctx
+	}
 	a.metrics.connections.Inc()
 	context.AfterFunc(c.Context(), func() {
-		a.gate.do(func(g *admission.Controller, now time.Time) { g.CloseConn(now, name) })
+		a.gate.do(func(g *admission.Controller, now time.Time) { g.CloseConn(now, owner) })
 		a.metrics.connections.Dec()
 	})
 	return a.conn.marks.connected(ctx, c.RemoteAddr())
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/hemlockscale/hemlockscale/admission"
 	"github.com/hemlockscale/hemlockscale/catalogue"
 	"github.com/hemlockscale/hemlockscale/internal/contact"
 	"github.com/hemlockscale/hemlockscale/internal/control"
@@ -17,20 +15,7 @@
 	"github.com/hemlockscale/hemlockscale/membership"
 )
 
-const (
-	controlTick = 50 * time.Millisecond
-	// entryRetry is the least time between two requests for the entry.
-	entryRetry = 250 * time.Millisecond
-	// contactSilence is how long all balancers must be silent before contact
-	// slots are read again.
-	contactSilence = 10 * time.Second
-	// healthInterval is how often the backend server is connected to.
-	healthInterval = 500 * time.Millisecond
-	healthTimeout  = 400 * time.Millisecond
-	// healthFailures is how many connects in a row must fail before the
-	// backend server counts as gone: one lost packet must not take it out.
-	healthFailures = 2
-)
+const controlTick = 50 * time.Millisecond
 
 // duty is the control duty: it keeps the catalogue entry, announces the agent
 // and judges the backend server. One goroutine runs it.
@@ -71,37 +56,6 @@
 	return d
 }
 
-// results is where outcomes of store calls come from; nil without a store.
-func (d *duty) results() <-chan contact.Result {
-	if d.contacts == nil {
-		return nil
-	}
-	return d.contacts.Results
-}
-
-// seekContacts reads contact slots until some balancer is known, and again when
-// all that are known have been silent for contactSilence.
-func (d *duty) seekContacts(ctx context.Context, now time.Time) {
-	if d.slots == nil {
-		return
-	}
-	if d.announcer != nil && now.Sub(d.announcer.LastAck()) > contactSilence {
-		d.slots.Want(now)
-	}
-	if call, ok := d.slots.Next(now); ok {
-		d.contacts.Make(ctx, call)
-	}
-}
-
-// takeContact takes in a contact slot that was read.
-func (d *duty) takeContact(now time.Time, r contact.Result) {
-	d.slots.Done(now, d.contacts.Done(r))
-	d.seeds = append(d.slots.Contacts(), d.a.cfg.Seeds...)
-	if d.announcer != nil {
-		d.announcer.SetSeeds(d.seeds)
-	}
-}
-
 // leave makes the duty announce that the agent leaves.
 func (d *duty) leave() {
 	select {
@@ -212,65 +166,6 @@
 	}
 }
 
-// offerEntry gives this agent's entry to a balancer that has no catalogue, as
-// after a restart of all balancers while the store is down: the agents' entries
-// are then all that is left of it.
-func (d *duty) offerEntry(to netip.AddrPort) {
-	if m, ok := d.held.Offer(); ok {
-		d.link.SendBytes(seal.TopicCatalogue, to, m.Encode())
-	}
-}
-
-// askEntry asks for the catalogue entry until it is known, and again once an
-// ack has told of another version.
-func (d *duty) askEntry(now time.Time) {
-	if now.Sub(d.askedAt) < entryRetry {
-		return
-	}
-	to := d.newer
-	d.newer = netip.AddrPort{}
-	if d.announcer == nil && len(d.seeds) > 0 {
-		to = d.seeds[d.rng.IntN(len(d.seeds))]
-	}
-	if !to.IsValid() {
-		return
-	}
-	d.askedAt = now
-	d.link.SendBytes(seal.TopicCatalogue, to, d.held.Request().Encode())
-}
-
-// hearVersion takes in what an ack says of this agent's entry. Asking only when
-// the entry changed keeps agents from asking at each of the fleet's edits.
-func (d *duty) hearVersion(from netip.AddrPort, version uint64) {
-	held, _ := d.held.Entry()
-	switch {
-	case version == control.NoCatalogue:
-		d.offerEntry(from)
-	case version == control.NoEntry || version > held.Version:
-		d.newer = from
-	}
-}
-
-func (d *duty) receiveEntry(now time.Time, b []byte) {
-	m, err := catalogue.DecodeMessage(b)
-	if err != nil {
-		d.a.metrics.controlBad.Inc()
-		return
-	}
-	changed := d.held.Receive(m)
-	entry, found := d.held.Entry()
-	if !changed || !found {
-		// An entry that was deleted leaves the last one in force for the
-		// flows that are open; balancers send no new ones.
-		return
-	}
-	d.a.setEntry(&entry)
-	// A service that was deleted and entered again has a new number.
-	if d.announcer == nil || d.announcer.Self().Service != entry.Number {
-		d.startAnnouncing(now)
-	}
-}
-
 func (d *duty) startAnnouncing(now time.Time) {
 	cfg := d.a.cfg
 	announcer, err := membership.NewAnnouncer(membership.AnnouncerConfig{
@@ -314,50 +209,6 @@
 	d.a.log.Info("state", zap.Stringer("state", state))
 }
 
-// judge takes in whether the backend server can be reached.
-func (d *duty) judge(now time.Time, up bool) {
-	if up == !d.readyAt.IsZero() {
-		return
-	}
-	d.readyAt = time.Time{}
-	if up {
-		d.readyAt = now
-	}
-	d.a.gate.do(func(c *admission.Controller, now time.Time) { c.SetBackend(now, up) })
-	d.a.log.Info("backend server", zap.Bool("reachable", up))
-	d.announceState(now)
-}
-
-// watchBackend connects to the backend server at intervals. The agent's own
-// connect goes before the health endpoint, which may lag or mislead.
-func (d *duty) watchBackend(ctx context.Context) {
-	dialer := &net.Dialer{Timeout: healthTimeout}
-	tick := time.NewTicker(healthInterval)
-	defer tick.Stop()
-	failures := 0
-	for {
-		conn, err := dialer.DialContext(ctx, "tcp", d.a.cfg.Backend.Host)
-		if err == nil {
-			conn.Close()
-			failures = 0
-		} else {
-			failures++
-		}
-		if failures == 0 || failures >= healthFailures {
-			select {
-			case d.health <- failures == 0:
-			case <-ctx.Done():
-				return
-			}
-		}
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 func boolValue(b bool) float64 {
 	if b {
 		return 1
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -21,13 +21,16 @@
 	effects []admission.Effect
 	changed func(time.Time, admission.Load)    // told the counts after each change of them
 	ended   func(time.Time, admission.Outcome) // told how each request ended
-	open    sync.WaitGroup                     // requests between enter and the end of their permit
+	open    int                                // requests between enter and the end of their permit
+	idle    chan struct{}                      // closed once draining and open is 0
+	drains  bool
 }
 
 func newGate(cfg admission.Config) *gate {
 	return &gate{
 		ctrl:    admission.New(time.Now(), cfg),
 		waiting: make(map[uint64]chan admission.Effect),
+		idle:    make(chan struct{}),
 	}
 }
 
@@ -52,7 +55,7 @@
 				p.gate.ended(now, r.Outcome)
 			}
 		})
-		p.gate.open.Done()
+		p.gate.leave()
 	})
 }
 
@@ -62,7 +65,7 @@
 	g.mu.Lock()
 	g.nextID++
 	r.ID = g.nextID
-	g.open.Add(1)
+	g.open++
 	d := g.ctrl.Offer(time.Now(), r)
 	var wait chan admission.Effect
 	if d.Verdict == admission.Queued {
@@ -76,7 +79,7 @@
 	case admission.Admitted:
 		return &permit{gate: g, id: r.ID}, nil
 	case admission.Refused:
-		g.open.Done()
+		g.leave()
 		return nil, d.Refusal
 	}
 	return g.await(ctx, r.ID, wait)
@@ -86,7 +89,7 @@
 	select {
 	case e := <-wait:
 		if e.Kind == admission.Refuse {
-			g.open.Done()
+			g.leave()
 			return nil, e.Refusal
 		}
 		return &permit{gate: g, id: id}, nil
@@ -105,7 +108,27 @@
 			c.Done(now, id, admission.Result{Outcome: admission.Canceled})
 		}
 	})
-	g.open.Done()
+	g.leave()
+}
+
+// leave counts the end of an open request.
+func (g *gate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open--
+	g.noteIdle()
+}
+
+// noteIdle tells the drain when the last open request has ended. g.mu is held.
+func (g *gate) noteIdle() {
+	if !g.drains || g.open > 0 {
+		return
+	}
+	select {
+	case <-g.idle:
+	default:
+		close(g.idle)
+	}
 }
 
 // do runs f on the controller and delivers the decisions that follow.
@@ -161,14 +184,13 @@
 
 // drain refuses new requests and waits until the open ones have ended.
 func (g *gate) drain(ctx context.Context) {
-	g.do(func(c *admission.Controller, _ time.Time) { c.Drain() })
-	idle := make(chan struct{})
-	go func() {
-		g.open.Wait()
-		close(idle)
-	}()
+	g.do(func(c *admission.Controller, _ time.Time) {
+		c.Drain()
+		g.drains = true
+		g.noteIdle()
+	})
 	select {
-	case <-idle:
+	case <-g.idle:
 	case <-ctx.Done():
 	}
 }
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -192,7 +192,17 @@
 	if err != nil {
 		return netip.IPv4Unspecified()
 	}
-	k, ok := keyOf(net.UDPAddrFromAddrPort(a))
+	return addrOf(net.UDPAddrFromAddrPort(a))
+}
+
+// addrOf returns the caller's address behind a virtual one, or the unspecified
+// address for any other.
+func addrOf(a net.Addr) netip.Addr {
+	u, ok := a.(*net.UDPAddr)
+	if !ok {
+		return netip.IPv4Unspecified()
+	}
+	k, ok := keyOf(u)
 	if !ok {
 		return netip.IPv4Unspecified()
 	}
--- a/test/refusal_test.go
+++ b/test/refusal_test.go
@@ -155,3 +155,32 @@
 		r.t.Errorf("no refusal for %s", reason)
 	}
 }
+
+// TestConnectionLimit: symptom: a backend server with 2,000 connections gets
+// more. Sequence: callers go on connecting to an agent that has as many as its
+// entry allows. Cause: the limit was counted and not enforced.
+func TestConnectionLimit(t *testing.T) {
+	t.Parallel()
+	const limit = 4
+	f := fleet.Start(t, fleet.Config{Balancers: 2, Seed: 1, Services: []fleet.Service{{
+		Name: "listing", Owner: "exchange", Class: catalogue.ClassInteractive, Backends: 1,
+		Limits: catalogue.Limits{Connections: limit},
+	}}})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*fleet.Limit)
+	defer cancel()
+	served, refused := 0, 0
+	for n := range 3 * limit {
+		c := f.Caller("listing") // stays connected to the end of the test
+		a, err := c.Card(ctx, fmt.Sprint("card-", n))
+		mustNotBeWrong(t, err)
+		switch {
+		case err != nil:
+			refused++
+		case a.Status == http.StatusOK:
+			served++
+		}
+	}
+	if served == 0 || served > limit || served+refused != 3*limit {
+		t.Errorf("served %d, refused %d with a limit of %d connections", served, refused, limit)
+	}
+}
