--- a/cmd/hemlock-agent/main.go
+++ b/cmd/hemlock-agent/main.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/url"
 	"os"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -110,11 +109,11 @@
 
 // certificate reads both settings as PEM text, or as files that hold it.
 func certificate(cert, key string) (tls.Certificate, error) {
-	c, err := pemText("tls-cert", cert)
+	c, err := settings.PEM("tls-cert", cert)
 	if err != nil {
 		return tls.Certificate{}, err
 	}
-	k, err := pemText("tls-key", key)
+	k, err := settings.PEM("tls-key", key)
 	if err != nil {
 		return tls.Certificate{}, err
 	}
@@ -125,17 +124,6 @@
 	return pair, nil
 }
 
-func pemText(setting, value string) ([]byte, error) {
-	if strings.HasPrefix(value, "-----BEGIN") {
-		return []byte(value), nil
-	}
-	b, err := os.ReadFile(value)
-	if err != nil {
-		return nil, &settings.Error{Setting: setting, Reason: err.Error(), Remedy: "give PEM text or a file that this process may read"}
-	}
-	return b, nil
-}
-
 func serve(cfg config) error {
 	d, err := daemon.New(cfg.daemon)
 	if err != nil {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -115,7 +115,7 @@
 		metrics: newMetrics(reg),
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
-	a.flows = newFlows(a.gate, cfg.Internal)
+	a.flows = newFlows(a.gate, cfg.Internal, a.metrics)
 	link, err := control.NewLink(cfg.Keys, socket)
 	if err != nil {
 		socket.Close()
--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/hemlockscale/hemlockscale/admission"
 	"github.com/hemlockscale/hemlockscale/catalogue"
 	"github.com/hemlockscale/hemlockscale/connid"
@@ -21,6 +23,7 @@
 	decider *placement.Decider
 	packet  quicwire.Packet
 	meter   placement.Meter
+	busy    prometheus.Gauge
 	conns   atomic.Int64 // limit of the catalogue entry
 	level   atomic.Uint32
 	step    atomic.Uint32 // what one more request would add to level
@@ -51,8 +54,8 @@
 
 func (f *freshFlows) count() int64 { return f.now.Load() + f.past.Load() }
 
-func newFlows(g *gate, self netip.AddrPort) *flows {
-	f := &flows{self: self, decider: placement.NewDecider(rand.Uint64(), placement.DeciderOptions{})}
+func newFlows(g *gate, self netip.AddrPort, m *metrics) *flows {
+	f := &flows{self: self, busy: m.busySlots, decider: placement.NewDecider(rand.Uint64(), placement.DeciderOptions{})}
 	f.conns.Store(catalogue.DefaultConnections)
 	g.changed = f.update
 	g.ended = f.ended
@@ -97,6 +100,7 @@
 		MaxConnections: int(f.conns.Load()),
 		Draining:       l.Draining,
 	}
+	f.busy.Set(float64(l.Slots))
 	f.level.Store(uint32(f.meter.Occupancy(now, usage)))
 	f.fresh.turn(now)
 	more := usage
--- a/internal/agent/flows_test.go
+++ b/internal/agent/flows_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/hemlockscale/hemlockscale/admission"
 	"github.com/hemlockscale/hemlockscale/internal/frame"
 )
@@ -23,7 +25,7 @@
 // agent looked idle to each of them.
 func TestBurstOfFlowsIsSpread(t *testing.T) {
 	g := newGate(admission.Config{})
-	f := newFlows(g, netip.MustParseAddrPort("10.0.0.1:7700"))
+	f := newFlows(g, netip.MustParseAddrPort("10.0.0.1:7700"), newMetrics(prometheus.NewRegistry()))
 	g.do(func(*admission.Controller, time.Time) {})
 	const burst = 50
 	kept := 0
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -147,6 +147,18 @@
 	return list, nil
 }
 
+// PEM returns PEM text given in a setting, or read from the file that it names.
+func PEM(setting, value string) ([]byte, error) {
+	if strings.HasPrefix(value, "-----BEGIN") {
+		return []byte(value), nil
+	}
+	b, err := os.ReadFile(value)
+	if err != nil {
+		return nil, &Error{Setting: setting, Reason: err.Error(), Remedy: "give PEM text or a file that this process may read"}
+	}
+	return b, nil
+}
+
 // Required refuses an empty value.
 func Required(setting, value string) error {
 	if value == "" {
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/hemlockscale/hemlockscale/catalogue"
 	"github.com/hemlockscale/hemlockscale/internal/standin/backend"
 	"github.com/hemlockscale/hemlockscale/internal/standin/caller"
+	"github.com/hemlockscale/hemlockscale/internal/standin/deployment"
 	"github.com/hemlockscale/hemlockscale/internal/standin/fabric"
 	"github.com/hemlockscale/hemlockscale/internal/standin/loopback"
 	"github.com/hemlockscale/hemlockscale/internal/standin/pki"
@@ -27,14 +28,7 @@
 )
 
 // Service is one service of a fleet.
-type Service struct {
-	Name     string
-	Owner    string
-	Class    catalogue.Class
-	Limits   catalogue.Limits
-	Backends int
-	Work     time.Duration // of a short request
-}
+type Service = deployment.Service
 
 // Config is the make-up of a fleet.
 type Config struct {
