Refusal test offers twice what all agents can hold

Its 8 callers are exactly what 4 agents with one slot and one waiting place hold; it was red only since new flows are spread evenly. Change: 16 callers in every case; the checks are the same. Conclusion: the test relied on uneven placement; now it overloads whatever the placement.

--- a/test/refusal_test.go
+++ b/test/refusal_test.go
@@ -78,7 +78,8 @@
 
 // offer has callers send reservations until the wanted reason was given often.
 func (r *refusals) offer(f *fleet.Fleet, c refusalCase) {
-	const callers, enough = 8, 30
+	// Twice as many callers as the smallest case has slots and places to wait.
+	const callers, enough = 16, 30
 	ctx, cancel := context.WithTimeout(context.Background(), fleet.Limit)
 	defer cancel()
 	var wg sync.WaitGroup
