Contact slots that nobody has read are looked at within a second

Cause: TestAgentFindsBalancersBySlots was flaky (3 of about 12 runs under load): the agent found a contact after 29.8 s. Three balancers had started together and turned to the same slot; the two that lost looked at the next slot after 30 s; the agent read two empty slots, with a backoff of up to 12 and 24 s. Change: a candidate looks at a slot that it has never read after a second.

--- a/membership/slots.go
+++ b/membership/slots.go
@@ -16,6 +16,7 @@
 	DefaultLease  = 30 * time.Second // of a slot
 	renewDivisor  = 3                // renewals in the time of one lease
 	checkEvery    = 30 * time.Second // between looks of a candidate at a slot that another holds
+	fillEvery     = time.Second      // the same for a slot that the candidate has not read yet
 	firstBackoff  = 8 * time.Second  // after a read that found nothing
 	longestWait   = time.Minute      // of the backoff
 	callTimeout   = 5 * time.Second  // after which a call without result counts as unknown
@@ -217,12 +218,25 @@
 	}
 	s.contacts[s.slot] = addr
 	s.tries = 0
-	s.at = now.Add(s.jitter(checkEvery))
+	s.at = now.Add(s.jitter(s.nextLook()))
 	if !s.cfg.Claims {
 		s.phase = phaseRest
 	}
 }
 
+// nextLook is how long a candidate waits before it looks at another slot. One
+// that it has never read is looked at soon: balancers that start together turn
+// to the same slot now and then, and until the others are taken a process that
+// knows no balancer may find empty slots only, and waits longer with each.
+func (s *Slots) nextLook() time.Duration {
+	for _, a := range s.contacts {
+		if !a.IsValid() {
+			return fillEvery
+		}
+	}
+	return checkEvery
+}
+
 func (s *Slots) onGrant(now time.Time, r Result) {
 	if r.Outcome != OutcomeOK {
 		// A lease that was granted without our knowledge runs out unused.
--- a/membership/slots_test.go
+++ b/membership/slots_test.go
@@ -239,3 +239,16 @@
 		t.Errorf("%d processes found no contact", without)
 	}
 }
+
+// Symptom: a process that knows no balancer waits half a minute for a contact.
+// Sequence: three balancers start together and turn to the same slot; one takes
+// it, the others look at the next one half a minute later; the process finds two
+// empty slots, with a longer wait after each. Cause: candidates took their time
+// with slots that nobody had read yet.
+func TestSlotsFillSoon(t *testing.T) {
+	f := newSlotFleet(3)
+	f.run(8*time.Second, f.store.do)
+	if got := f.store.held("a"); got != SlotsPerZone {
+		t.Errorf("%d of %d slots are held after 8 s", got, SlotsPerZone)
+	}
+}
