--- a/cmd/hemlock-agent/main.go
+++ b/cmd/hemlock-agent/main.go
@@ -26,7 +26,6 @@
 type config struct {
 	agent  agent.Config
 	daemon daemon.Config
-	trace  tracing.Config
 	drain  time.Duration
 }
 
@@ -64,15 +63,15 @@
 	s.DurationVar(&cfg.drain, "drain", time.Hour, "limit of a graceful stop; open flows run to their end within it")
 	admin := s.String("admin", "127.0.0.1:0", "TCP address of metrics, readiness and status")
 	s.StringVar(&cfg.daemon.Level, "log-level", "info", "debug, info, warn or error")
-	s.StringVar(&cfg.trace.Exporter, "trace", tracing.Off, "where spans go: off, stderr, or the URL of an OTLP collector like http://127.0.0.1:4318")
-	s.Float64Var(&cfg.trace.Sample, "trace-sample", 1, "share of requests of the flows that a balancer picked that is traced, 0 to 1")
+	s.StringVar(&cfg.daemon.Trace.Exporter, "trace", tracing.Off, "where spans go: off, stderr, or the URL of an OTLP collector like http://127.0.0.1:4318")
+	s.Float64Var(&cfg.daemon.Trace.Sample, "trace-sample", 1, "share of requests of the flows that a balancer picked that is traced, 0 to 1")
 	if err = s.Parse(args); err != nil {
 		return cfg, err
 	}
 	cfg.daemon.Role = "agent"
-	cfg.trace.Role, cfg.trace.Zone = "agent", a.Zone
+	cfg.daemon.Trace.Zone = a.Zone
 	return cfg, settings.First(
-		cfg.trace.Check,
+		cfg.daemon.Trace.Check,
 		func() error { return settings.Required("internal", *internal) },
 		func() error { return settings.Required("service", a.Service) },
 		func() error { return settings.Required("zone", a.Zone) },
@@ -129,12 +128,7 @@
 	if err != nil {
 		return err
 	}
-	traces, err := tracing.Open(cfg.trace, d.Registry)
-	if err != nil {
-		return err
-	}
-	defer traces.End()
-	cfg.agent.Traces = traces
+	cfg.agent.Traces = d.Traces
 	a, err := agent.New(cfg.agent, d.Log, d.Registry)
 	if err != nil {
 		return err
--- a/cmd/hemlock-balancer/main.go
+++ b/cmd/hemlock-balancer/main.go
@@ -24,7 +24,6 @@
 type config struct {
 	balancer balancer.Config
 	daemon   daemon.Config
-	trace    tracing.Config
 	drain    time.Duration
 	memory   int64 // soft limit in bytes, 0 for none
 }
@@ -54,8 +53,8 @@
 	memory := s.Int64("memory-limit", 44, "soft limit of the memory that the program manages, in MiB; the program's own text comes on top; 0 is no limit")
 	admin := s.String("admin", "127.0.0.1:0", "TCP address of metrics, readiness and status")
 	s.StringVar(&cfg.daemon.Level, "log-level", "info", "debug, info, warn or error")
-	s.StringVar(&cfg.trace.Exporter, "trace", tracing.Off, "where spans go: off, stderr, or the URL of an OTLP collector like http://127.0.0.1:4318")
-	s.Float64Var(&cfg.trace.Sample, "trace-sample", 0.01, "share of flows that is traced, 0 to 1")
+	s.StringVar(&cfg.daemon.Trace.Exporter, "trace", tracing.Off, "where spans go: off, stderr, or the URL of an OTLP collector like http://127.0.0.1:4318")
+	s.Float64Var(&cfg.daemon.Trace.Sample, "trace-sample", 0.01, "share of flows that is traced, 0 to 1")
 	if err = s.Parse(args); err != nil {
 		return cfg, err
 	}
@@ -64,9 +63,9 @@
 	if *memory < 0 {
 		return cfg, &settings.Error{Setting: "memory-limit", Reason: "negative", Remedy: "give MiB, or 0 for no limit"}
 	}
-	cfg.trace.Role, cfg.trace.Zone = "balancer", cfg.balancer.Zone
+	cfg.daemon.Trace.Zone = cfg.balancer.Zone
 	return cfg, settings.First(
-		cfg.trace.Check,
+		cfg.daemon.Trace.Check,
 		func() error { return settings.Required("internal", *internal) },
 		func() error { return settings.Required("zone", cfg.balancer.Zone) },
 		func() error { return settings.Required("fleet-key", *key) },
@@ -89,12 +88,7 @@
 	if err != nil {
 		return err
 	}
-	traces, err := tracing.Open(cfg.trace, d.Registry)
-	if err != nil {
-		return err
-	}
-	defer traces.End()
-	cfg.balancer.Traces = traces
+	cfg.balancer.Traces = d.Traces
 	b, err := balancer.New(cfg.balancer, d.Log, d.Registry)
 	if err != nil {
 		return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"github.com/hemlockscale/hemlockscale/internal/tracing"
 )
 
 const adminHeaderTimeout = 5 * time.Second
@@ -29,6 +31,7 @@
 	Role  string
 	Admin netip.AddrPort // address of the metrics and readiness page
 	Level string         // log level: debug, info, warn or error
+	Trace tracing.Config // its Role is filled in
 }
 
 // Daemon is one process.
@@ -36,13 +39,14 @@
 	Log      *zap.Logger
 	Registry *prometheus.Registry
 	Mux      *http.ServeMux // pages of the admin address
+	Traces   *tracing.Provider
 	admin    net.Listener
 	ready    func() bool
 	draining atomic.Bool
 	group    run.Group
 }
 
-// New opens the log and the admin address.
+// New opens the log, the admin address and the exporter of traces.
 func New(cfg Config) (*Daemon, error) {
 	log, err := NewLog(cfg.Role, cfg.Level)
 	if err != nil {
@@ -56,6 +60,11 @@
 	d.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.Mux.Handle("GET /metrics", promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{}))
 	d.Mux.HandleFunc("GET /ready", d.serveReady)
+	cfg.Trace.Role = cfg.Role
+	if d.Traces, err = tracing.Open(cfg.Trace, d.Registry); err != nil {
+		ln.Close()
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -109,6 +118,7 @@
 	d.addAdmin()
 	d.addSignals(p, drain)
 	err := d.group.Run()
+	d.Traces.End()
 	d.Log.Sync()
 	return err
 }
