Balancers tell each other the configuration; settings are read again when they change

Cause: the store was the only source of the configuration, so a balancer that was restarted while the store was away, or turned it away alone, stayed out of rotation until the store came back. Changed settings counted from the next start only, and a file changed without a signal was never noticed. Ruled out: configuration in datagrams between balancers (parts, repeats and an order of their own for 200 KB; one GET over TCP has all of that). The stand-in of the store has doors with faults of their own.

--- a/flow/director.go
+++ b/flow/director.go
@@ -7,50 +7,6 @@
 	"github.com/hemlockscale/hemlockscale/placement"
 )
 
-// DirectorConfig sets up a Director. A zero duration or bound means its default.
-type DirectorConfig struct {
-	Zone string // availability zone of the balancer
-
-	// OpenTimeout is how long an agent may take to answer an offer.
-	OpenTimeout time.Duration
-	// AgentSilence is the time without a message after which an agent is
-	// offered no new flows.
-	AgentSilence time.Duration
-	// AgentForget is the time without a message after which an agent is no
-	// longer asked for flows. Its own don't count as lost for MaxAge.
-	AgentForget time.Duration
-	// SureAfter is the time from the start until the balancer has heard of all
-	// agents that live; before, no flow counts as held by nobody.
-	SureAfter time.Duration
-	// MaxFlows bounds the flows remembered.
-	MaxFlows int
-	// MaxOpening bounds the flows that are being offered.
-	MaxOpening int
-	// MaxAge is the age from which a flow may be discarded.
-	MaxAge time.Duration
-}
-
-// Defaults of DirectorConfig.
-const (
-	// DefaultOpenTimeout is ten times the longest exchange between zones, and a
-	// quarter of the time after which a caller repeats its first packet.
-	DefaultOpenTimeout = 50 * time.Millisecond
-	// DefaultAgentSilence is three reports.
-	DefaultAgentSilence = 3 * ReportEvery
-	// DefaultAgentForget is above the time in which a killed agent is back.
-	DefaultAgentForget = 6 * time.Second
-	// DefaultSureAfter is more than two reports: agents know a balancer that
-	// was restarted and go on reporting to it.
-	DefaultSureAfter = 600 * time.Millisecond
-	// DefaultMaxFlows is four times a balancer's share of the target, in about
-	// 10 MB.
-	DefaultMaxFlows = 1 << 16
-	// DefaultMaxOpening bounds the offers under way, 200 bytes each.
-	DefaultMaxOpening = 1 << 12
-	// DefaultMaxAge is the age that the platform lets flows reach.
-	DefaultMaxAge = time.Minute
-)
-
 const (
 	// HelloEvery is the time between two messages that make a balancer known
 	// to an agent.
@@ -249,30 +205,6 @@
 	otherZone = "other"
 )
 
-func (c *DirectorConfig) setDefaults() {
-	if c.OpenTimeout == 0 {
-		c.OpenTimeout = DefaultOpenTimeout
-	}
-	if c.AgentSilence == 0 {
-		c.AgentSilence = DefaultAgentSilence
-	}
-	if c.AgentForget == 0 {
-		c.AgentForget = DefaultAgentForget
-	}
-	if c.SureAfter == 0 {
-		c.SureAfter = DefaultSureAfter
-	}
-	if c.MaxFlows == 0 {
-		c.MaxFlows = DefaultMaxFlows
-	}
-	if c.MaxOpening == 0 {
-		c.MaxOpening = DefaultMaxOpening
-	}
-	if c.MaxAge == 0 {
-		c.MaxAge = DefaultMaxAge
-	}
-}
-
 // SetRoutes puts a configuration in force. An older one than that in force is
 // refused: what a backend server has seen the effect of is never undone.
 func (d *Director) SetRoutes(r *Routes) bool {
--- /dev/null
+++ b/flow/director_config.go
@@ -0,0 +1,63 @@
+package flow
+
+import (
+	"cmp"
+	"time"
+)
+
+// DirectorConfig sets up a Director. A zero duration or bound means its default.
+type DirectorConfig struct {
+	Zone string // availability zone of the balancer
+
+	// OpenTimeout is how long an agent may take to answer an offer.
+	OpenTimeout time.Duration
+	// AgentSilence is the time without a message after which an agent is
+	// offered no new flows.
+	AgentSilence time.Duration
+	// AgentForget is the time without a message after which an agent is no
+	// longer asked for flows. Its own don't count as lost for MaxAge.
+	AgentForget time.Duration
+	// SureAfter is the time from the start until the balancer has heard of all
+	// agents that live; before, no flow counts as held by nobody.
+	SureAfter time.Duration
+	// MaxFlows bounds the flows remembered.
+	MaxFlows int
+	// MaxOpening bounds the flows that are being offered.
+	MaxOpening int
+	// MaxAge is the age from which a flow may be discarded.
+	MaxAge time.Duration
+}
+
+// Defaults of DirectorConfig.
+const (
+	// DefaultOpenTimeout is ten times the longest exchange between zones, and a
+	// quarter of the time after which a caller repeats its first packet.
+	DefaultOpenTimeout = 50 * time.Millisecond
+	// DefaultAgentSilence is three reports.
+	DefaultAgentSilence = 3 * ReportEvery
+	// DefaultAgentForget is above the time in which a killed agent is back.
+	DefaultAgentForget = 6 * time.Second
+	// DefaultSureAfter is more than two reports: agents know a balancer that
+	// was restarted and go on reporting to it.
+	DefaultSureAfter = 600 * time.Millisecond
+	// DefaultMaxFlows is four times a balancer's share of the target, in about
+	// 10 MB.
+	DefaultMaxFlows = 1 << 16
+	// DefaultMaxOpening bounds the offers under way, 200 bytes each.
+	DefaultMaxOpening = 1 << 12
+	// DefaultMaxAge is the age that the platform lets flows reach.
+	DefaultMaxAge = time.Minute
+)
+
+func (c *DirectorConfig) setDefaults() {
+	c.OpenTimeout = cmp.Or(c.OpenTimeout, DefaultOpenTimeout)
+	c.AgentSilence = cmp.Or(c.AgentSilence, DefaultAgentSilence)
+	c.AgentForget = cmp.Or(c.AgentForget, DefaultAgentForget)
+	c.SureAfter = cmp.Or(c.SureAfter, DefaultSureAfter)
+	c.MaxFlows = cmp.Or(c.MaxFlows, DefaultMaxFlows)
+	c.MaxOpening = cmp.Or(c.MaxOpening, DefaultMaxOpening)
+	c.MaxAge = cmp.Or(c.MaxAge, DefaultMaxAge)
+}
+
+// SetMaxAge changes the age that flows may reach; 0 is the default.
+func (d *Director) SetMaxAge(age time.Duration) { d.cfg.MaxAge = cmp.Or(age, DefaultMaxAge) }
--- a/flow/gate.go
+++ b/flow/gate.go
@@ -7,54 +7,6 @@
 	"github.com/hemlockscale/hemlockscale/placement"
 )
 
-// GateConfig sets up a Gate. A zero duration or bound means its default.
-type GateConfig struct {
-	Zone        string
-	Incarnation uint64 // drawn at random at the start of the process
-	// Service is the service that the server belongs to by the settings. A
-	// heartbeat that names another one goes before it.
-	Service ServiceID
-
-	// Fresh is how long a heartbeat vouches for the server. It has to be
-	// shorter than the time after which an address is used again by another
-	// service.
-	Fresh time.Duration
-	// AnswerTimeout is how long the server may take to answer a first packet.
-	AnswerTimeout time.Duration
-	// RequestLimit is how long a request may count as being worked on.
-	RequestLimit time.Duration
-	// MaxFlows bounds the flows remembered.
-	MaxFlows int
-	// MaxAge is the age from which a flow may be discarded.
-	MaxAge time.Duration
-	// Idle is the time without a packet after which a flow is forgotten.
-	Idle time.Duration
-	// QueueFactor bounds the requests at work, as a multiple of the server's
-	// slots; 0 is DefaultQueueFactor.
-	QueueFactor float64
-}
-
-// Defaults of GateConfig.
-const (
-	// DefaultFresh is below the two seconds after which the platform gives an
-	// address to another service, and above one heartbeat.
-	DefaultFresh = 1900 * time.Millisecond
-	// DefaultAnswerTimeout is a hundred times what a server takes, and below
-	// the time that a balancer waits for the agent.
-	DefaultAnswerTimeout = 35 * time.Millisecond
-	// DefaultRequestLimit is above the longest deadline of a request.
-	DefaultRequestLimit = 8 * time.Second
-	// DefaultGateFlows is twice the connections that a server takes.
-	DefaultGateFlows = 4096
-	// DefaultIdle is above the time after which a flow may be discarded.
-	DefaultIdle = 20 * time.Second
-	// DefaultQueueFactor keeps a server's slots busy while callers answer a
-	// handshake; what more there is waits at the agent, which knows what is late.
-	DefaultQueueFactor = 1.6
-	// DefaultSlots is assumed until a heartbeat tells.
-	DefaultSlots = 5
-)
-
 const (
 	// subscription is how long an agent goes on reporting to a balancer that
 	// it has not heard from.
@@ -200,30 +152,6 @@
 	}
 }
 
-func (c *GateConfig) setDefaults() {
-	if c.Fresh == 0 {
-		c.Fresh = DefaultFresh
-	}
-	if c.AnswerTimeout == 0 {
-		c.AnswerTimeout = DefaultAnswerTimeout
-	}
-	if c.RequestLimit == 0 {
-		c.RequestLimit = DefaultRequestLimit
-	}
-	if c.MaxFlows == 0 {
-		c.MaxFlows = DefaultGateFlows
-	}
-	if c.MaxAge == 0 {
-		c.MaxAge = DefaultMaxAge
-	}
-	if c.Idle == 0 {
-		c.Idle = DefaultIdle
-	}
-	if c.QueueFactor == 0 {
-		c.QueueFactor = DefaultQueueFactor
-	}
-}
-
 // Effects returns what is to be done and empties the list. The slice is valid
 // until the next call of any method.
 func (g *Gate) Effects() []Effect {
--- a/flow/roster.go
+++ b/flow/roster.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -30,6 +32,11 @@
 	d.balancers[addr] = struct{}{}
 }
 
+// Balancers returns the other balancers that are known.
+func (d *Director) Balancers() []netip.AddrPort {
+	return slices.Collect(maps.Keys(d.balancers))
+}
+
 // balancersPart is the number of balancers that an agent tells of, and
 // balancerEntry the length of one in bytes.
 const (
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,6 +50,7 @@
 	group    run.Group
 	ring     *LogRing // nil if the log goes to standard error
 	reload   func() error
+	changed  func() bool // nil: only SIGHUP asks for a reload
 }
 
 // New opens the log, the admin address and the exporter of traces.
@@ -131,9 +132,13 @@
 	return func(l zapcore.Level) bool { return l >= least && l >= zapcore.WarnLevel }
 }
 
-// ReloadWhen makes SIGHUP call reload, which reads the settings anew. Call it
-// before Run. Without it SIGHUP changes nothing; it never ends the process.
-func (d *Daemon) ReloadWhen(reload func() error) { d.reload = reload }
+// ReloadWhen makes SIGHUP call reload, which reads the settings anew, and so does
+// every change that changed reports, for settings that change without a signal.
+// Call it before Run. Without it SIGHUP changes nothing; it never ends the
+// process.
+func (d *Daemon) ReloadWhen(reload func() error, changed func() bool) {
+	d.reload, d.changed = reload, changed
+}
 
 // ReadyWhen makes the readiness page ask ready. Call it before Run.
 func (d *Daemon) ReadyWhen(ready func() bool) { d.ready = ready }
@@ -217,14 +222,25 @@
 
 func init() { signal.Notify(hangups, syscall.SIGHUP) }
 
-// addReload is the duty that answers SIGHUP.
+// lookForChange is the time between two looks whether the settings have changed
+// without a signal: reading a file of 2 KB costs 20 us, and nothing in it has to
+// be in force sooner.
+const lookForChange = 3 * time.Second
+
+// addReload is the duty that answers SIGHUP and notices changed settings.
 func (d *Daemon) addReload() {
 	done := make(chan struct{})
+	look := time.NewTicker(lookForChange)
 	d.group.Add(func() error {
+		defer look.Stop()
 		for {
 			select {
 			case <-hangups:
-				d.reloadNow()
+				d.reloadNow("signal")
+			case <-look.C:
+				if d.changed != nil && d.changed() {
+					d.reloadNow("settings changed")
+				}
 			case <-done:
 				return nil
 			}
@@ -232,16 +248,16 @@
 	}, func(error) { close(done) })
 }
 
-func (d *Daemon) reloadNow() {
+func (d *Daemon) reloadNow(why string) {
 	if d.reload == nil {
 		d.Log.Info("reload: no settings that change while the process runs")
 		return
 	}
 	if err := d.reload(); err != nil {
-		d.Log.Error("reload refused; the settings in force stay", zap.Error(err))
+		d.Log.Error("reload refused; the settings in force stay", zap.String("why", why), zap.Error(err))
 		return
 	}
-	d.Log.Info("reloaded")
+	d.Log.Info("reloaded", zap.String("why", why))
 }
 
 func cancelOnInterrupt(ctx context.Context, cancel context.CancelFunc, signals <-chan os.Signal) {
--- a/internal/flowagent/agent.go
+++ b/internal/flowagent/agent.go
@@ -84,16 +84,10 @@
 	cfg.Gate.Incarnation = rand.Uint64()
 	cfg.Gate.Service = flow.IDOf(s.Service)
 	cfg.Gate.MaxAge = s.MaxFlowAge
-	if s.AddressRest > restMargin {
-		cfg.Gate.Fresh = s.AddressRest - restMargin
-	}
+	cfg.Gate.Fresh = fresh(s)
 	a := &Agent{cfg: cfg, log: log, kick: make(chan struct{}, 1)}
 	a.gate = flow.NewGate(node.Now(), cfg.Gate, newTracer(log))
-	// The balancers of the settings tell others nothing, but whoever they hand
-	// packets to can answer, and they have the agent in their rosters.
-	for _, seed := range s.Seeds {
-		a.gate.Introduce(node.Now(), netip.AddrPortFrom(seed, s.InternalPort))
-	}
+	a.introduceSeeds(s.Seeds)
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	var err error
 	if a.control, err = net.Listen("tcp4", s.Control.String()); err != nil {
@@ -119,6 +113,26 @@
 	return a, nil
 }
 
+// fresh returns how long the server counts as ready after a heartbeat, 0 for the
+// default.
+func fresh(s *node.Settings) time.Duration { return max(s.AddressRest-restMargin, 0) }
+
+// introduceSeeds reports to the balancers that the settings name, with a.mu held.
+// They have the agent in their rosters then, whatever the store does.
+func (a *Agent) introduceSeeds(seeds []netip.Addr) {
+	for _, seed := range seeds {
+		a.gate.Introduce(node.Now(), netip.AddrPortFrom(seed, a.cfg.Settings.InternalPort))
+	}
+}
+
+// Apply implements process.Part.
+func (a *Agent) Apply(s node.Settings) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate.SetLimits(s.MaxFlowAge, fresh(&s))
+	a.introduceSeeds(s.Seeds)
+}
+
 // Ready reports whether the server takes new flows.
 func (a *Agent) Ready() bool {
 	a.mu.Lock()
--- a/internal/flowbalancer/balancer.go
+++ b/internal/flowbalancer/balancer.go
@@ -24,6 +24,7 @@
 	"github.com/hemlockscale/hemlockscale/flow"
 	"github.com/hemlockscale/hemlockscale/internal/flowframe"
 	"github.com/hemlockscale/hemlockscale/internal/node"
+	"github.com/hemlockscale/hemlockscale/internal/store"
 	"github.com/hemlockscale/hemlockscale/internal/udp"
 )
 
@@ -67,6 +68,8 @@
 	callers  *udp.Conn
 	internal *udp.Conn
 	pages    net.Listener
+	shared   net.Listener // where other balancers ask for the configuration
+	follower *node.Follower
 
 	mu        sync.Mutex
 	director  *flow.Director
@@ -89,11 +92,7 @@
 	cfg.Director.MaxAge = cfg.Settings.MaxFlowAge
 	b := &Balancer{cfg: cfg, log: log, look: make(chan struct{}, 1), kick: make(chan struct{}, 1)}
 	b.director = flow.NewDirector(node.Now(), cfg.Director, newTracer(log))
-	for _, seed := range cfg.Settings.Seeds {
-		if seed != cfg.Settings.IP {
-			b.director.IntroduceBalancer(netip.AddrPortFrom(seed, cfg.Settings.InternalPort))
-		}
-	}
+	b.introduceSeeds(cfg.Settings.Seeds)
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	var err error
 	if b.callers, err = udp.Listen(cfg.Settings.Packets); err != nil {
@@ -102,9 +101,13 @@
 	if b.internal, err = udp.Listen(b.addr()); err != nil {
 		return nil, err
 	}
+	if b.shared, err = net.Listen("tcp4", b.addr().String()); err != nil {
+		return nil, err
+	}
 	if b.pages, err = net.Listen("tcp4", cfg.Settings.Readiness.String()); err != nil {
 		return nil, err
 	}
+	b.follower = b.newFollower()
 	registerMetrics(reg, b)
 	return b, nil
 }
@@ -131,10 +134,29 @@
 	g.Add(b.tick, func(error) { b.cancel() })
 	b.addFollower(&g)
 	b.addIntroducer(&g)
+	b.addShared(&g)
 	b.addPages(&g)
 	return g.Run()
 }
 
+// Apply implements process.Part.
+func (b *Balancer) Apply(s node.Settings) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.director.SetMaxAge(s.MaxFlowAge)
+	b.introduceSeeds(s.Seeds)
+}
+
+// introduceSeeds makes the balancers known that the settings name, with b.mu
+// held.
+func (b *Balancer) introduceSeeds(seeds []netip.Addr) {
+	for _, seed := range seeds {
+		if seed != b.cfg.Settings.IP {
+			b.director.IntroduceBalancer(netip.AddrPortFrom(seed, b.cfg.Settings.InternalPort))
+		}
+	}
+}
+
 // Close implements daemon.Part.
 func (b *Balancer) Close() { b.cancel() }
 
@@ -295,9 +317,39 @@
 	}
 }
 
+// newFollower returns what follows the configuration in the store, and asks
+// other balancers for it while the store does not answer.
+func (b *Balancer) newFollower() *node.Follower {
+	others := node.NewValueClient()
+	return &node.Follower{
+		Key: b.cfg.ConfigKey, Store: b.cfg.Store,
+		Changed: b.configure, Confirmed: b.confirm, Look: b.look,
+		Others: func(ctx context.Context) (store.Value, error) { return others.Ask(ctx, b.others()) },
+		Behind: b.behind,
+		Log:    b.log,
+	}
+}
+
+func (b *Balancer) others() []netip.AddrPort {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.director.Balancers()
+}
+
+func (b *Balancer) behind() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.director.Behind()
+}
+
 func (b *Balancer) addFollower(g *run.Group) {
-	f := &node.Follower{Key: b.cfg.ConfigKey, Store: b.cfg.Store, Changed: b.configure, Confirmed: b.confirm, Look: b.look, Log: b.log}
-	g.Add(func() error { return f.Run(b.ctx) }, func(error) { b.cancel() })
+	g.Add(func() error { return b.follower.Run(b.ctx) }, func(error) { b.cancel() })
+}
+
+// addShared serves the configuration to other balancers.
+func (b *Balancer) addShared(g *run.Group) {
+	s := &http.Server{Handler: node.ValuePage(b.follower), ReadHeaderTimeout: readHeaderTimeout}
+	g.Add(func() error { return node.IgnoreServerClosed(s.Serve(b.shared)) }, func(error) { s.Close() })
 }
 
 func (b *Balancer) confirm(at time.Time) {
@@ -306,20 +358,21 @@
 	b.director.Confirm(at)
 }
 
-// configure puts a configuration in force.
-func (b *Balancer) configure(data []byte) {
+// configure puts a configuration in force and reports whether it could be read.
+func (b *Balancer) configure(data []byte) bool {
 	start := node.Now()
 	routes, errs := b.cfg.ParseConfig(data)
 	for _, err := range errs {
 		b.log.Error("configuration refused in part", zap.Error(err))
 	}
 	if routes == nil {
-		return
+		return false
 	}
 	b.mu.Lock()
 	taken := b.director.SetRoutes(routes)
 	b.mu.Unlock()
 	b.log.Info("configuration", zap.Uint64("revision", routes.Revision), zap.Bool("in_force", taken), zap.Int("routes", routes.Len()), zap.Duration("took", node.Now().Sub(start)))
+	return true
 }
 
 func (b *Balancer) addIntroducer(g *run.Group) {
--- /dev/null
+++ b/internal/standin/platform/door.go
@@ -0,0 +1,88 @@
+package platform
+
+import (
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+)
+
+// Door is one more address of the store, for some of its callers.
+type Door struct {
+	store *Store
+	http  *httptest.Server
+	fault Fault // guarded by store.mu; the zero fault leaves the store's own
+
+	mu    sync.Mutex
+	conns []*silentConn
+}
+
+// doorKey marks a request's context with its Door.
+type doorKey struct{}
+
+// Addr returns the door's address.
+func (d *Door) Addr() netip.AddrPort {
+	return netip.MustParseAddrPort(strings.TrimPrefix(d.http.URL, "http://"))
+}
+
+// SetFault sets what is wrong for those who come by this door. Calls under way
+// end.
+func (d *Door) SetFault(f Fault) {
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	d.fault = f
+	d.store.wake()
+}
+
+// Silence makes the connections that are open now go silent for good, without
+// an end; new ones work.
+func (d *Door) Silence() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.conns {
+		c.silent.Store(true)
+	}
+	d.conns = nil
+}
+
+// silencer accepts connections that can go silent.
+type silencer struct {
+	net.Listener
+	door *Door
+}
+
+func (l *silencer) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	s := &silentConn{Conn: c}
+	l.door.mu.Lock()
+	defer l.door.mu.Unlock()
+	l.door.conns = append(l.door.conns, s)
+	return s, nil
+}
+
+// silentConn swallows what comes and goes once it is silent.
+type silentConn struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (c *silentConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+func (c *silentConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -5,8 +5,10 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -29,7 +31,8 @@
 
 // Store is the key-value store.
 type Store struct {
-	http *httptest.Server
+	http  *httptest.Server
+	doors []*Door
 
 	mu       sync.Mutex
 	revision uint64
@@ -78,6 +81,21 @@
 	return s
 }
 
+// NewDoor opens another address of the store, with faults of its own.
+func (s *Store) NewDoor() *Door {
+	d := &Door{store: s}
+	d.http = httptest.NewUnstartedServer(s.http.Config.Handler)
+	d.http.Listener = &silencer{Listener: d.http.Listener, door: d}
+	d.http.Config.BaseContext = func(net.Listener) context.Context {
+		return context.WithValue(context.Background(), doorKey{}, d)
+	}
+	d.http.Start()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doors = append(s.doors, d)
+	return d
+}
+
 // Addr returns the store's address.
 func (s *Store) Addr() netip.AddrPort {
 	return netip.MustParseAddrPort(strings.TrimPrefix(s.http.URL, "http://"))
@@ -88,6 +106,13 @@
 	s.SetFault(func(netip.Addr) Fault { return Fault{Refuse: http.StatusServiceUnavailable} })
 	s.http.CloseClientConnections()
 	s.http.Close()
+	s.mu.Lock()
+	doors := s.doors
+	s.mu.Unlock()
+	for _, d := range doors {
+		d.http.CloseClientConnections()
+		d.http.Close()
+	}
 }
 
 // SetFault sets what is wrong, by the caller's address. Calls under way end.
@@ -232,6 +257,9 @@
 }
 
 func (s *Store) faultOf(r *http.Request) Fault {
+	if d, ok := r.Context().Value(doorKey{}).(*Door); ok && d.fault != (Fault{}) {
+		return d.fault
+	}
 	a, err := netip.ParseAddrPort(r.RemoteAddr)
 	if err != nil {
 		return Fault{}
--- /dev/null
+++ b/test/packets/config_test.go
@@ -0,0 +1,144 @@
+package packets
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/hemlockscale/hemlockscale/internal/standin/platform"
+)
+
+// Symptom: a balancer that was restarted stays out of rotation for as long as
+// the store turns it away, and later changes never reach it.
+// Sequence: the store answers everybody but one balancer, in one of the ways
+// that stores fail; that balancer is killed and starts; the configuration
+// changes.
+// Cause: the store is the only source of the configuration.
+func TestStoreServesSomeOnly(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault platform.Fault
+	}{
+		{"busy", platform.Fault{Refuse: http.StatusServiceUnavailable}},
+		{"too many", platform.Fault{Refuse: http.StatusTooManyRequests}},
+		{"silent", platform.Fault{Hang: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := start(t, 3, "listing", "listing", "records")
+			b := d.balancers[0]
+			b.door.SetFault(c.fault)
+			b.process.Kill()
+			b.startProcess()
+			d.await("the balancer has the configuration", func() bool { return b.inForce(d.revision) })
+			d.await("the balancer is back", func() bool { return d.router.Ready() == len(d.balancers) })
+			d.serve(3, 5, "listing", "records")
+			d.idle++
+			d.configure()
+			d.await("a change is in force there too", func() bool { return b.inForce(d.revision) })
+			d.serve(3, 5, "listing", "records")
+		})
+	}
+}
+
+// Symptom: a balancer that starts while all others are gone too takes an old
+// configuration for the newest.
+// Sequence: the store is away, every balancer is killed and starts; the store
+// returns with a newer configuration.
+// Cause: what others tell is not compared with the store's own answer.
+func TestStoreReturnsWithNewerConfiguration(t *testing.T) {
+	d := start(t, 2, "listing", "listing")
+	for _, b := range d.balancers {
+		b.door.SetFault(platform.Fault{Refuse: http.StatusServiceUnavailable})
+		b.process.Kill()
+		b.startProcess()
+	}
+	d.idle++
+	d.configure()
+	for _, b := range d.balancers {
+		b.door.SetFault(platform.Fault{})
+	}
+	for _, b := range d.balancers {
+		d.await("the newest configuration is in force", func() bool { return b.inForce(d.revision) })
+	}
+	d.await("all balancers in rotation", func() bool { return d.router.Ready() == len(d.balancers) })
+	d.serve(2, 5, "listing")
+}
+
+// Symptom: a change is not in force, or keys lapse, minutes after connections to
+// the store broke.
+// Sequence: every open connection to the store goes silent without an end; new
+// ones work; the configuration changes.
+// Cause: a silent connection looks like one on which nothing happens.
+func TestStoreConnectionsGoSilent(t *testing.T) {
+	d := start(t, 2, "listing", "listing")
+	for _, v := range append(d.balancers[:2:2], d.agents...) {
+		v.door.Silence()
+	}
+	d.store.Remove("hemlock/nodes/")
+	d.idle++
+	d.configure()
+	for _, b := range d.balancers {
+		d.await("the change is in force", func() bool { return b.inForce(d.revision) })
+	}
+	d.await("every key is back", func() bool { return len(d.store.Keys("hemlock/nodes/")) == 4 })
+	d.serve(2, 5, "listing")
+}
+
+// Symptom: open flows stall, or a change waits, when the configuration grows.
+// Sequence: 1,500 routes are added while flows are in use, in several steps.
+// Cause: reading a large configuration holds what packets need.
+func TestManyRoutes(t *testing.T) {
+	d := start(t, 2, "listing", "listing")
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	f, err := d.caller(0).Open(ctx, serviceAddr("listing"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		d.idle += 500
+		d.configure()
+		for n := 0; n < 5 || !d.balancers[0].inForce(d.revision) || !d.balancers[1].inForce(d.revision); n++ {
+			if err := f.Request(ctx, d.requestID(), "listing", true, 2000); err != nil {
+				t.Fatalf("open flow: %v", err)
+			}
+		}
+	}
+	if !strings.Contains(d.balancers[0].process.Log(), fmt.Sprintf(`"routes":%d`, d.idle+len(d.routes))) {
+		t.Error("not every route is known")
+	}
+	f.Close()
+	d.serve(2, 5, "listing")
+}
+
+// Symptom: a changed setting counts only from the next start of the process.
+// Sequence: the settings file changes, with a signal and without one, and once
+// to something that can't be read.
+// Cause: the file is read at the start alone.
+func TestSettingsAreReadAgain(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		signal bool
+	}{{"signal", true}, {"no signal", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			d := start(t, 1, "listing")
+			for _, v := range append(d.balancers[:1:1], d.agents...) {
+				v.maxAgeS = 61
+				v.writeSettings()
+				if c.signal {
+					v.process.Hangup()
+				}
+				d.await("the new settings are in force", func() bool { return strings.Contains(v.process.Log(), `"max_flow_age":61`) })
+				v.maxAgeS = -1
+				v.writeSettings()
+				if c.signal {
+					v.process.Hangup()
+				}
+				d.await("the wrong ones are refused", func() bool { return strings.Contains(v.process.Log(), "reload refused") })
+			}
+			d.serve(1, 3, "listing")
+		})
+	}
+}
--- a/test/packets/fleet_test.go
+++ b/test/packets/fleet_test.go
@@ -49,13 +49,14 @@
 	t         testing.TB
 	net       *loopback.Network
 	store     *platform.Store
-	storeAddr netip.AddrPort // where the processes reach the store
+	storeAddr netip.AddrPort // where the processes reach the store, if not by doors of their own
 	journal   *platform.Journal
 	router    *platform.Router
 	balancers []*vm
 	agents    []*vm
 	revision  uint64
 	routes    map[string]string // service by host
+	idle      int               // further routes that see no traffic
 	requests  atomic.Uint64
 }
 
@@ -65,7 +66,10 @@
 	program string
 	addr    netip.Addr
 	service string
+	door    *platform.Door // where the process reaches the store
 	env     map[string]string
+	file    string // the settings file
+	maxAgeS int    // bound of a flow's age in the settings, in seconds
 	process *fleet.Process
 	server  *platform.Server
 }
@@ -88,7 +92,7 @@
 [bounds]
 reuseDelayS = 2
 graceS = 6
-maxFlowS = 60
+maxFlowS = %[13]d
 [platform]
 address = "%[12]s"
 minTtlMs = 1000
@@ -99,7 +103,6 @@
 	t.Helper()
 	d := &deployment{t: t, store: platform.NewStore(), journal: platform.NewJournal(), routes: map[string]string{}}
 	t.Cleanup(d.store.Close)
-	d.storeAddr = d.store.Addr()
 	var err error
 	if d.net, err = loopback.Reserve(); err != nil {
 		t.Fatal(err)
@@ -132,7 +135,7 @@
 }
 
 func (d *deployment) newVM(program string, addr netip.Addr, service string) *vm {
-	return &vm{d: d, program: program, addr: addr, service: service}
+	return &vm{d: d, program: program, addr: addr, service: service, door: d.store.NewDoor(), maxAgeS: 60}
 }
 
 // writeSettings writes the settings file of a VM.
@@ -140,16 +143,26 @@
 	v.d.t.Helper()
 	name := fmt.Sprintf("vm-%s", v.addr)
 	text := fmt.Sprintf(settings, name, strings.TrimPrefix(v.program, "hemlock-"), v.addr, internalPort, internalPort+15,
-		appPort, v.service, packetPort, outboundPort, readinessPort, controlPort, v.d.storeAddr)
-	path := filepath.Join(v.d.t.TempDir(), "local.toml")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		appPort, v.service, packetPort, outboundPort, readinessPort, controlPort, v.storeAddr(), v.maxAgeS)
+	if v.file == "" {
+		v.file = filepath.Join(v.d.t.TempDir(), "local.toml")
+	}
+	if err := os.WriteFile(v.file, []byte(text), 0o600); err != nil {
 		v.d.t.Fatal(err)
 	}
-	v.env = map[string]string{"HEMLOCKSCALE_NODE_FILE": path}
+	v.env = map[string]string{"HEMLOCKSCALE_NODE_FILE": v.file}
 	prefix := strings.ToUpper(strings.ReplaceAll(v.program, "-", "_"))
 	v.env[prefix+"_PLATFORM"] = "true"
 }
 
+// storeAddr is where the process reaches the store.
+func (v *vm) storeAddr() netip.AddrPort {
+	if v.d.storeAddr.IsValid() {
+		return v.d.storeAddr
+	}
+	return v.door.Addr()
+}
+
 func (v *vm) startProcess() {
 	v.writeSettings()
 	v.process = fleet.StartProcess(v.d.t, v.program+" "+v.addr.String(), v.program, v.env)
@@ -186,6 +199,9 @@
 	for h, s := range d.routes {
 		routes = append(routes, route{"name": "r-" + s, "host": h, "prefix": fmt.Sprintf("/%d/", servicePort), "service": s, "priority": 2, "targetLatencyMs": 500, "timeoutMs": 3000, "type": "idempotent"})
 	}
+	for i := range d.idle {
+		routes = append(routes, route{"name": fmt.Sprintf("idle-%d", i), "host": fmt.Sprintf("198.19.%d.%d", i/250, i%250), "prefix": "/443/", "service": "listing", "priority": 3, "type": "idempotent"})
+	}
 	data, err := json.Marshal(map[string]any{"version": d.revision, "routes": routes, "services": []any{}, "limits": map[string]int{"idleTimeoutMs": 15000}})
 	if err != nil {
 		d.t.Fatal(err)
@@ -226,6 +242,11 @@
 
 func (d *deployment) requestID() string { return fmt.Sprintf("q%d", d.requests.Add(1)) }
 
+// inForce reports whether the process has said that a configuration is in force.
+func (v *vm) inForce(revision uint64) bool {
+	return strings.Contains(v.process.Log(), fmt.Sprintf(`"revision":%d,"in_force":true`, revision))
+}
+
 // check fails the test for every broken promise.
 func (d *deployment) check() {
 	d.t.Helper()
