First packets and packets of unknown flows allocate nothing

Cause: each first packet left two and each packet of an unknown flow 8 to 12 allocations to the collector; under a flood they take a small VM's processor. Ruled out: sync.Pool (the state machines are single-threaded, and a pool empties itself at each collection). An answer to a search that was not asked no longer counts for it: it may be one for an earlier flow from the same port.

--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -54,7 +55,9 @@
 				d.FromAgent(now, e.agent, &m, nil, nil)
 				d.Effects()
 				d.forget(s.Key)
-				d.queue = d.queue[:0]
+				for d.queue.len() > 0 {
+					d.queue.pop()
+				}
 			}
 		})
 	}
@@ -73,7 +76,9 @@
 				d.FromCaller(now, s, packet)
 				d.Effects()
 				d.forget(s.Key)
-				d.asking = d.asking[:0]
+				for d.asking.len() > 0 {
+					d.asking.pop()
+				}
 			}
 		})
 	}
@@ -114,3 +119,128 @@
 		t.Errorf("%v allocations a packet", n)
 	}
 }
+
+// BenchmarkMemory reports the live heap that each remembered flow takes at a
+// balancer and at an agent.
+func BenchmarkMemory(b *testing.B) {
+	const flows = 60_000
+	report := func(b *testing.B, fill func() any) {
+		var before, after runtime.MemStats
+		for b.Loop() {
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			kept := fill()
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			runtime.KeepAlive(kept)
+		}
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/flows, "B/flow")
+	}
+	b.Run("balancer", func(b *testing.B) {
+		report(b, func() any {
+			d, now := benchDirector(7)
+			packet := make([]byte, 32)
+			for i := range flows {
+				if i%1000 == 0 {
+					now = now.Add(2 * DefaultOpenTimeout)
+					d.Tick(now) // drops the timeouts of offers that were answered
+				}
+				s := Segment{Key: benchKey(i), Seq: 1, Syn: true}
+				d.FromCaller(now, s, packet)
+				e := d.flows[s.Key]
+				d.FromAgent(now, e.agent, &Message{Kind: Taken, Key: s.Key, State: ServerReady, Service: listing, ReadAge: ReadUnknown}, nil, nil)
+				d.Effects()
+			}
+			d.Tick(now.Add(2 * DefaultOpenTimeout))
+			d.Effects()
+			return d
+		})
+	})
+	b.Run("agent", func(b *testing.B) {
+		report(b, func() any {
+			now := time.Unix(1000, 0)
+			g := NewGate(now, GateConfig{MaxFlows: flows + 1, Service: listing}, nil)
+			packet := make([]byte, 32)
+			for i := range flows {
+				g.FromServer(now, Segment{Key: benchKey(i), Seq: 1, HasAck: true, Data: 10}, packet)
+				g.Effects()
+			}
+			return g
+		})
+	})
+}
+
+// Symptom: on a small VM a flood of first packets or of packets of unknown flows
+// takes the processor from open flows.
+// Sequence: each such packet allocates, and the collector runs without end.
+// Cause: memory of flows that ended was not used again.
+func TestPacketsAllocateNothing(t *testing.T) {
+	packet := make([]byte, 100)
+	d, now := benchDirector(47)
+	for _, c := range []struct {
+		name string
+		run  func(i int)
+	}{
+		{"known flow", func(int) {
+			d.FromCaller(now, Segment{Key: benchKey(1), Seq: 2, HasAck: true, Data: 68}, packet)
+		}},
+		{"first packet", func(i int) {
+			key := benchKey(i)
+			d.FromCaller(now, Segment{Key: key, Seq: 1, Syn: true}, packet[:32])
+			d.FromAgent(now, d.flows[key].agent, &Message{Kind: Taken, Key: key, State: ServerReady, Service: listing, ReadAge: ReadUnknown}, nil, nil)
+			d.forget(key)
+			d.queue.pop()
+		}},
+		{"unknown flow", func(i int) {
+			d.FromCaller(now, Segment{Key: benchKey(i), Seq: 1, Ack: 2, HasAck: true, Data: 68}, packet)
+			d.forget(benchKey(i))
+			d.asking.pop()
+		}},
+	} {
+		known := benchKey(1)
+		d.FromCaller(now, Segment{Key: known, Seq: 1, Syn: true}, packet[:32])
+		d.placed(d.flows[known], d.flows[known].agent)
+		d.Effects()
+		i := 1
+		run := func() {
+			i++
+			c.run(i)
+			d.Effects()
+		}
+		for range 100 {
+			run()
+		}
+		if n := testing.AllocsPerRun(1000, run); n != 0 {
+			t.Errorf("%s: %v allocations a packet", c.name, n)
+		}
+	}
+}
+
+// The same for an agent, where a flow is opened, used and forgotten.
+func TestAgentsPacketsAllocateNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := NewGate(now, GateConfig{Service: listing}, nil)
+	g.Heartbeat(now, Heartbeat{Instance: "i", Sequence: 1, Service: listing, Slots: 5})
+	packet := make([]byte, 100)
+	i := 0
+	run := func() {
+		i++
+		key := benchKey(i)
+		first := Segment{Key: key, Seq: 1, Syn: true}
+		g.FromBalancer(now, balancerA, &Message{Kind: Open, Service: listing, Key: key}, &first, packet)
+		g.FromServer(now, Segment{Key: key, Seq: 9, Ack: 2, Syn: true, HasAck: true}, packet)
+		data := Segment{Key: key, Seq: 2, Ack: 10, HasAck: true, Data: 68}
+		g.FromBalancer(now, balancerA, &Message{Kind: Pass}, &data, packet)
+		g.FromServer(now, Segment{Key: key, Seq: 10, Ack: 70, HasAck: true, Data: 68}, packet)
+		g.forget(key)
+		g.waiting.pop()
+		g.answered.pop()
+		g.Effects()
+	}
+	for range 100 {
+		run()
+	}
+	if n := testing.AllocsPerRun(1000, run); n != 0 {
+		t.Errorf("%v allocations a flow", n)
+	}
+}
--- a/flow/director.go
+++ b/flow/director.go
@@ -112,7 +112,7 @@
 	busy    int  // agents that refused because of load
 	mayWait bool // offered to wait for room
 	copies  uint32
-	serial  int // counts the waits for an agent's answer
+	serial  uint64 // of the wait for an agent's answer
 	since   time.Time
 	syn     [synSize]byte
 	synLen  int
@@ -129,20 +129,38 @@
 
 // seek is a flow that is being looked for.
 type seek struct {
-	answered map[netip.AddrPort]bool // agents asked, and whether they have answered
-	all      bool                    // every agent of the fleet was asked
-	since    time.Time               // of the packet that it is looked for with
-	segment  Segment
-	packet   []byte
-	unsure   bool     // stands in Director.unsure
-	again    int      // times that agents were asked again
-	kept     [][]byte // packets that came meanwhile
+	serial  uint64
+	asked   []question
+	all     bool      // every agent of the fleet was asked
+	since   time.Time // of the packet that it is looked for with
+	segment Segment
+	packet  []byte
+	unsure  bool     // stands in Director.unsure
+	again   int      // times that agents were asked again
+	kept    [][]byte // packets that came meanwhile
+}
+
+// question is an agent that was asked for a flow.
+type question struct {
+	agent    netip.AddrPort
+	answered bool
+}
+
+// question returns the question to an agent, nil if it was not asked.
+func (k *seek) question(agent netip.AddrPort) *question {
+	for i := range k.asked {
+		if k.asked[i].agent == agent {
+			return &k.asked[i]
+		}
+	}
+	return nil
 }
 
 // asking is when the agents that have not answered are asked again.
 type asking struct {
-	k  *seek
-	at time.Time
+	k      *seek
+	serial uint64 // of the seek; it serves another flow by now if it differs
+	at     time.Time
 }
 
 // Director is the state machine of a balancer.
@@ -163,10 +181,13 @@
 
 	load    *placement.Load
 	flows   map[Key]*entry
-	queue   []due    // flows offered, in the order of time
-	queued  []due    // flows that wait for room at an agent, in the order of time
-	asking  []asking // flows whose agents are asked again, in the order of time
-	unsure  []*seek  // flows that nobody holds, as far as is known yet
+	spare   spare
+	serial  uint64           // of the latest wait or seek
+	queue   fifo[due]        // flows offered, in the order of time
+	queued  fifo[due]        // flows that wait for room at an agent, in the order of time
+	asking  fifo[asking]     // flows whose agents are asked again, in the order of time
+	targets []netip.AddrPort // scratch: agents that are asked next
+	unsure  []*seek          // flows that nobody holds, as far as is known yet
 	started time.Time
 	now     time.Time // of the call being worked on
 	tickAt  time.Time // last tick
@@ -247,7 +268,7 @@
 // Stats returns the counters.
 func (d *Director) Stats() DirectorStats {
 	s := d.stats
-	s.Flows, s.Opening, s.Agents = len(d.flows), len(d.queue)+len(d.queued), len(d.agents)
+	s.Flows, s.Opening, s.Agents = len(d.flows), d.queue.len()+d.queued.len(), len(d.agents)
 	for _, a := range d.agents {
 		if a.takesFlows() {
 			s.Ready++
@@ -308,15 +329,23 @@
 
 // placed notes that agent holds the flow.
 func (d *Director) placed(e *entry, agent netip.AddrPort) {
-	e.open = nil
-	e.seek = nil
+	d.spare.drop(e)
 	e.agent = agent
 	e.state = entryPlaced
 }
 
 // forget removes a flow.
 func (d *Director) forget(key Key) {
-	delete(d.flows, key)
+	if e := d.flows[key]; e != nil {
+		d.spare.dropAll(e)
+		delete(d.flows, key)
+	}
+}
+
+// nextSerial tells one use of an opening or a seek from the next.
+func (d *Director) nextSerial() uint64 {
+	d.serial++
+	return d.serial
 }
 
 // remember returns a new entry, or nil if there is no room.
@@ -327,7 +356,8 @@
 	if len(d.flows) >= d.cfg.MaxFlows {
 		return nil
 	}
-	e := &entry{opened: now, used: now}
+	e := d.spare.entry()
+	e.opened, e.used = now, now
 	d.flows[key] = e
 	return e
 }
--- a/flow/find.go
+++ b/flow/find.go
@@ -25,13 +25,16 @@
 // placed among, or all of the fleet. The one that holds it passes the packet on
 // at once, so a flow that is found loses no time.
 func (d *Director) seek(now time.Time, e *entry, s *Segment, packet []byte, all bool) {
-	k := &seek{answered: make(map[netip.AddrPort]bool), all: all, since: now, segment: *s}
+	d.spare.drop(e)
+	k := d.spare.seek()
+	k.serial, k.all, k.since, k.segment = d.nextSerial(), all, now, *s
 	k.packet = append(k.packet, packet...)
 	e.state = entrySought
 	e.seek = k
 	var targets []netip.AddrPort
 	if v := d.serviceOf(s.Key); !all && v != nil && len(d.agents) > askAllUpTo {
-		targets = v.all.Nearest(s.Key.hash(), askFirst, nil)
+		targets = v.all.Nearest(s.Key.hash(), askFirst, d.targets[:0])
+		d.targets = targets
 	} else {
 		k.all = true
 		targets = d.notAsked(k)
@@ -51,53 +54,54 @@
 // caller of a dead flow waiting for its deadline.
 func (d *Director) askLater(now time.Time, k *seek) {
 	if k.again < maxAsked {
-		d.asking = append(d.asking, asking{k, now.Add(askEvery)})
+		d.asking.push(asking{k, k.serial, now.Add(askEvery)})
 	}
 }
 
 // askAgain asks the agents that have not answered in time.
 func (d *Director) askAgain(now time.Time) {
-	for len(d.asking) > 0 && !d.asking[0].at.After(now) {
-		k := d.asking[0].k
-		d.asking = d.asking[1:]
-		if e := d.flows[k.segment.Key]; e == nil || e.seek != k {
+	for d.asking.len() > 0 && !d.asking.first().at.After(now) {
+		a := d.asking.pop()
+		k := a.k
+		if e := d.flows[k.segment.Key]; e == nil || e.seek != k || k.serial != a.serial {
 			continue
 		}
 		k.again++
 		d.ask(k, d.unanswering(k))
 		d.askLater(now, k)
 	}
-	if len(d.asking) == 0 {
-		d.asking = nil
-	}
 }
 
 // unanswering returns the agents that were asked and have not answered.
 func (d *Director) unanswering(k *seek) []netip.AddrPort {
-	var list []netip.AddrPort
-	for addr, answered := range k.answered {
-		if !answered && d.agents[addr] != nil {
-			list = append(list, addr)
+	list := d.targets[:0]
+	for i := range k.asked {
+		if q := &k.asked[i]; !q.answered && d.agents[q.agent] != nil {
+			list = append(list, q.agent)
 		}
 	}
+	d.targets = list
 	return list
 }
 
 func (d *Director) ask(k *seek, targets []netip.AddrPort) {
 	for _, addr := range targets {
-		k.answered[addr] = false
+		if k.question(addr) == nil {
+			k.asked = append(k.asked, question{agent: addr})
+		}
 		d.send(addr, Message{Kind: Seek}, k.packet)
 	}
 }
 
 // notAsked returns the agents that a sought flow was not looked for at.
 func (d *Director) notAsked(k *seek) []netip.AddrPort {
-	var list []netip.AddrPort
+	list := d.targets[:0]
 	for addr := range d.agents {
-		if _, asked := k.answered[addr]; !asked {
+		if k.question(addr) == nil {
 			list = append(list, addr)
 		}
 	}
+	d.targets = list
 	return list
 }
 
@@ -128,11 +132,25 @@
 		d.conclude(now, k)
 		return
 	}
-	if len(k.kept) == maxKept {
+	if !k.keep(packet) {
 		d.drop(ReasonOverflow)
-		return
 	}
-	k.kept = append(k.kept, append([]byte(nil), packet...))
+}
+
+// keep copies a packet for whoever holds the flow, into memory of an earlier
+// one if there is some. It reports whether there was room.
+func (k *seek) keep(packet []byte) bool {
+	n := len(k.kept)
+	if n == maxKept {
+		return false
+	}
+	if n == cap(k.kept) {
+		k.kept = append(k.kept, nil)
+	} else {
+		k.kept = k.kept[:n+1]
+	}
+	k.kept[n] = append(k.kept[n][:0], packet...)
+	return true
 }
 
 // onHeld takes an agent's word that it holds a flow that was looked for.
@@ -165,6 +183,9 @@
 		d.lost(now, s, ReasonLost)
 	case e.state == entryPlaced && e.agent == from && s != nil:
 		d.seek(now, e, s, packet, false)
+		if e.seek != nil && e.seek.question(from) == nil {
+			e.seek.asked = append(e.seek.asked, question{agent: from})
+		}
 		d.answered(now, e, from)
 	case e.state == entrySought:
 		d.answered(now, e, from)
@@ -176,7 +197,12 @@
 	if e.seek == nil {
 		return
 	}
-	e.seek.answered[from] = true
+	q := e.seek.question(from)
+	if q == nil {
+		// The answer to a question for an earlier flow from the same port.
+		return
+	}
+	q.answered = true
 	d.conclude(now, e.seek)
 }
 
@@ -185,8 +211,9 @@
 // until this balancer knows all of them, it does not: a reset to a flow that
 // lives breaks it.
 func (d *Director) conclude(now time.Time, k *seek) {
-	for addr, answered := range k.answered {
-		if a := d.agents[addr]; !answered && a != nil && !d.ghost(now, a) {
+	for i := range k.asked {
+		q := &k.asked[i]
+		if a := d.agents[q.agent]; !q.answered && a != nil && !d.ghost(now, a) {
 			return
 		}
 	}
--- a/flow/gate.go
+++ b/flow/gate.go
@@ -117,9 +117,10 @@
 	readAt    time.Time // when somebody last read the configuration in the store
 	server    server
 	flows     map[Key]*held
+	spare     []*held // of flows that were forgotten, to be used again
 	requests  int
-	waiting   []waiting
-	answered  []waiting // flows that callers have not confirmed
+	waiting   fifo[waiting]
+	answered  fifo[waiting] // flows that callers have not confirmed
 	queue     []queued
 	balancers map[netip.AddrPort]time.Time // when heard last
 	reportAt  time.Time
@@ -281,12 +282,11 @@
 
 // admit passes a flow's first packet to the server.
 func (g *Gate) admit(now time.Time, via netip.AddrPort, key Key, opener uint32, packet []byte) {
-	g.forget(key)
-	f := &held{state: gateOffered, via: via, instance: g.server.instance, opener: opener, hasOpener: true, opened: now, used: now}
-	g.flows[key] = f
+	f := g.hold(now, key, gateOffered)
+	f.via, f.opener, f.hasOpener = via, opener, true
 	// A request follows as soon as the caller has the answer.
 	g.begin(now, f)
-	g.waiting = append(g.waiting, waiting{key, now})
+	g.waiting.push(waiting{key, now})
 	g.toServer(packet)
 }
 
@@ -318,7 +318,7 @@
 		return
 	}
 	if f.state == gateOffered {
-		g.waiting = append(g.waiting, waiting{s.Key, now})
+		g.waiting.push(waiting{s.Key, now})
 	} else {
 		g.reply(now, from, Message{Kind: Taken, Key: s.Key}, nil)
 	}
@@ -339,6 +339,16 @@
 	}
 	g.end(f)
 	delete(g.flows, key)
+	g.spare = append(g.spare, f)
+}
+
+// hold notes a flow in place of what was known of its key.
+func (g *Gate) hold(now time.Time, key Key, state gateState) *held {
+	g.forget(key)
+	f := take(&g.spare)
+	*f = held{state: state, instance: g.server.instance, opened: now, used: now}
+	g.flows[key] = f
+	return f
 }
 
 // begin counts a request as being worked on.
--- a/flow/held.go
+++ b/flow/held.go
@@ -92,7 +92,7 @@
 		g.stats.Dropped++
 		return
 	}
-	g.flows[s.Key] = &held{state: gateProbed, via: from, instance: g.server.instance, opened: now, used: now}
+	g.hold(now, s.Key, gateProbed).via = from
 	g.toServer(packet)
 }
 
@@ -137,9 +137,7 @@
 		g.stats.Dropped++
 		return nil
 	}
-	f := &held{state: gateOpen, instance: g.server.instance, opened: now, used: now}
-	g.flows[key] = f
-	return f
+	return g.hold(now, key, gateOpen)
 }
 
 func (g *Gate) noteServer(now time.Time, f *held, s *Segment) {
@@ -150,7 +148,7 @@
 		}
 		if f.state == gateOffered {
 			f.state = gateAnswered
-			g.answered = append(g.answered, waiting{s.Key, now})
+			g.answered.push(waiting{s.Key, now})
 			g.stats.Taken++
 			g.trace.Answered(now, s.Key, now.Sub(f.opened), g.requests)
 		}
@@ -262,18 +260,15 @@
 
 // excuse gives the server its time anew after this process stood still.
 func (g *Gate) excuse(now time.Time) {
-	for i := range g.waiting {
-		g.waiting[i].since = now
-	}
+	g.waiting.all(func(w *waiting) { w.since = now })
 }
 
 // expireWaiting hands back the flows whose first packet the server has not
 // answered. A server that has sent nothing else since then is silent: it has
 // crashed or hangs, and no flow is offered to it until it is heard again.
 func (g *Gate) expireWaiting(now time.Time) {
-	for len(g.waiting) > 0 && now.Sub(g.waiting[0].since) >= g.cfg.AnswerTimeout {
-		w := g.waiting[0]
-		g.waiting = g.waiting[1:]
+	for g.waiting.len() > 0 && now.Sub(g.waiting.first().since) >= g.cfg.AnswerTimeout {
+		w := g.waiting.pop()
 		f := g.flows[w.key]
 		if f == nil || f.state != gateOffered {
 			continue
@@ -286,35 +281,28 @@
 		g.end(f)
 		g.refuse(now, f.via, w.key, ReasonSilent)
 	}
-	if len(g.waiting) == 0 {
-		g.waiting = nil
-	}
 }
 
 // expireAnswered stops counting flows that their callers have not confirmed.
 func (g *Gate) expireAnswered(now time.Time) {
-	for len(g.answered) > 0 && now.Sub(g.answered[0].since) >= confirmTimeout {
-		f := g.flows[g.answered[0].key]
-		g.answered = g.answered[1:]
+	for g.answered.len() > 0 && now.Sub(g.answered.first().since) >= confirmTimeout {
+		f := g.flows[g.answered.pop().key]
 		if f != nil && f.state == gateAnswered {
 			g.end(f)
 		}
 	}
-	if len(g.answered) == 0 {
-		g.answered = nil
-	}
 }
 
 // NextTick returns when Tick has something to do at the latest.
 func (g *Gate) NextTick(now time.Time) time.Time {
 	next := g.reportAt
-	if len(g.waiting) > 0 {
-		if at := g.waiting[0].since.Add(g.cfg.AnswerTimeout); at.Before(next) {
+	if g.waiting.len() > 0 {
+		if at := g.waiting.first().since.Add(g.cfg.AnswerTimeout); at.Before(next) {
 			next = at
 		}
 	}
-	if len(g.answered) > 0 && len(g.queue) > 0 {
-		if at := g.answered[0].since.Add(confirmTimeout); at.Before(next) {
+	if g.answered.len() > 0 && len(g.queue) > 0 {
+		if at := g.answered.first().since.Add(confirmTimeout); at.Before(next) {
 			next = at
 		}
 	}
--- a/flow/offer.go
+++ b/flow/offer.go
@@ -42,7 +42,7 @@
 
 // open begins to offer a flow.
 func (d *Director) open(now time.Time, route Route, s *Segment, packet []byte) {
-	if len(packet) > synSize || len(d.queue) >= d.cfg.MaxOpening {
+	if len(packet) > synSize || d.queue.len() >= d.cfg.MaxOpening {
 		d.drop(ReasonOverflow)
 		return
 	}
@@ -51,7 +51,8 @@
 		d.drop(ReasonOverflow)
 		return
 	}
-	o := &opening{key: s.Key, route: route, service: route.ServiceFor(s.Key), since: now, copies: s.Ack}
+	o := d.spare.opening()
+	o.key, o.route, o.service, o.since, o.copies = s.Key, route, route.ServiceFor(s.Key), now, s.Ack
 	o.synLen = copy(o.syn[:], packet)
 	e.state = entryOpening
 	e.opener = s.Seq
@@ -99,7 +100,7 @@
 func (d *Director) sendOffer(now time.Time, e *entry, to netip.AddrPort) {
 	o := e.open
 	e.agent = to
-	d.queue = o.waitFor(d.queue, now.Add(d.cfg.OpenTimeout))
+	d.waitFor(&d.queue, o, now.Add(d.cfg.OpenTimeout))
 	m := Message{Kind: Open, Service: o.service, Priority: o.route.Priority}
 	if o.mayWait {
 		m.OnTime, m.Wait = o.route.waits(o.copies)
@@ -216,41 +217,36 @@
 	if e == nil || e.state != entryOpening || e.agent != from {
 		return
 	}
-	d.queued = e.open.waitFor(d.queued, now.Add(queueTimeout))
+	d.waitFor(&d.queued, e.open, now.Add(queueTimeout))
 }
 
 // expireOffers goes on with the flows whose agent has not answered in time.
 func (d *Director) expireOffers(now time.Time) {
-	d.queue = d.expire(now, d.queue)
-	d.queued = d.expire(now, d.queued)
+	d.expire(now, &d.queue)
+	d.expire(now, &d.queued)
 }
 
 // due is the end of the time that an agent has for its answer.
 type due struct {
 	o      *opening
-	serial int // of the wait; another one has begun if it differs
+	serial uint64 // of the wait; another one has begun if it differs
 	at     time.Time
 }
 
 // waitFor begins the wait for an agent's answer.
-func (o *opening) waitFor(queue []due, at time.Time) []due {
-	o.serial++
-	return append(queue, due{o, o.serial, at})
+func (d *Director) waitFor(queue *fifo[due], o *opening, at time.Time) {
+	o.serial = d.nextSerial()
+	queue.push(due{o, o.serial, at})
 }
 
-// expire returns what is left of a queue, which is in the order of its times.
-func (d *Director) expire(now time.Time, queue []due) []due {
-	for len(queue) > 0 && !queue[0].at.After(now) {
-		w := queue[0]
-		queue = queue[1:]
+// expire goes through a queue, which is in the order of its times, up to now.
+func (d *Director) expire(now time.Time, queue *fifo[due]) {
+	for queue.len() > 0 && !queue.first().at.After(now) {
+		w := queue.pop()
 		if e := d.flows[w.o.key]; e != nil && e.open == w.o && w.o.serial == w.serial {
 			d.unanswered(now, e)
 		}
 	}
-	if len(queue) == 0 {
-		return nil
-	}
-	return queue
 }
 
 // unanswered goes on with a flow whose agent let its time pass.
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -213,12 +213,12 @@
 	if !d.rosterKnown && len(d.balancers) > 0 && now.Sub(d.started) < aloneAfter && d.rosterAt.Before(next) {
 		next = d.rosterAt
 	}
-	if len(d.asking) > 0 && d.asking[0].at.Before(next) {
-		next = d.asking[0].at
+	if d.asking.len() > 0 && d.asking.first().at.Before(next) {
+		next = d.asking.first().at
 	}
-	for _, queue := range [...][]due{d.queue, d.queued} {
-		if len(queue) > 0 && queue[0].at.Before(next) {
-			next = queue[0].at
+	for _, queue := range [...]*fifo[due]{&d.queue, &d.queued} {
+		if queue.len() > 0 && queue.first().at.Before(next) {
+			next = queue.first().at
 		}
 	}
 	return next
@@ -239,7 +239,7 @@
 		}
 		if now.Sub(e.used) >= idle || now.Sub(e.opened) >= d.cfg.MaxAge+idle {
 			d.stats.Evicted++
-			delete(d.flows, key)
+			d.forget(key)
 		}
 	}
 }
--- a/flow/property_test.go
+++ b/flow/property_test.go
@@ -137,7 +137,7 @@
 func (p *play) checkEnd() {
 	p.w.pass(time.Second)
 	for _, d := range p.w.balancers {
-		if n := len(d.asking); n > 0 {
+		if n := d.asking.len(); n > 0 {
 			p.t.Fatalf("%d searches go on a second after the last packet", n)
 		}
 	}
--- a/flow/server.go
+++ b/flow/server.go
@@ -115,7 +115,7 @@
 		}
 		f.instance = v.instance
 	}
-	g.waiting = nil
+	g.waiting = fifo[waiting]{}
 	g.trace.Instance(now, v.instance, b.Sequence, v.complete)
 }
 
--- /dev/null
+++ b/flow/spare.go
@@ -0,0 +1,61 @@
+package flow
+
+// spare keeps what ended flows leave behind, so that the first packet of the
+// next one allocates nothing: under a flood of first packets or of packets of
+// unknown flows the collector would else take a small VM's processor. What it
+// holds is bounded by the flows that were ever remembered at once.
+type spare struct {
+	entries  []*entry
+	openings []*opening
+	seeks    []*seek
+}
+
+// take returns the last of a list, or a new one.
+func take[T any](list *[]*T) *T {
+	n := len(*list)
+	if n == 0 {
+		return new(T)
+	}
+	v := (*list)[n-1]
+	*list = (*list)[:n-1]
+	return v
+}
+
+func (p *spare) entry() *entry {
+	e := take(&p.entries)
+	*e = entry{}
+	return e
+}
+
+func (p *spare) opening() *opening {
+	o := take(&p.openings)
+	*o = opening{}
+	return o
+}
+
+// seek returns a seek with the memory of an earlier one.
+func (p *spare) seek() *seek {
+	k := take(&p.seeks)
+	*k = seek{asked: k.asked[:0], packet: k.packet[:0], kept: k.kept[:0]}
+	return k
+}
+
+// drop takes back what belongs to an entry beside its place. Effects of the
+// running call may still refer to it; nothing is taken out again before the next
+// call.
+func (p *spare) drop(e *entry) {
+	if e.open != nil {
+		p.openings = append(p.openings, e.open)
+		e.open = nil
+	}
+	if e.seek != nil {
+		p.seeks = append(p.seeks, e.seek)
+		e.seek = nil
+	}
+}
+
+// dropAll takes an entry back whole.
+func (p *spare) dropAll(e *entry) {
+	p.drop(e)
+	p.entries = append(p.entries, e)
+}
--- a/internal/flowagent/agent.go
+++ b/internal/flowagent/agent.go
@@ -203,20 +203,28 @@
 func (a *Agent) readBalancers() error {
 	r, out := udp.NewReader(a.messages), a.output()
 	for {
-		n, err := r.Read()
-		if err != nil {
+		if _, err := a.balancersBatch(r, out); err != nil {
 			return udp.IgnoreClosed(err)
 		}
-		a.decide(out, func(g *flow.Gate, now time.Time) {
-			for i := range n {
-				a.fromBalancer(g, now, r.Source(i), r.Datagram(i))
-				out.Add(g.Effects())
-			}
-		})
-		out.Flush()
 	}
 }
 
+// balancersBatch takes what one read brings and returns the number of messages.
+func (a *Agent) balancersBatch(r *udp.Reader, out *node.Output) (int, error) {
+	n, err := r.Read()
+	if err != nil {
+		return 0, err
+	}
+	a.decide(out, func(g *flow.Gate, now time.Time) {
+		for i := range n {
+			a.fromBalancer(g, now, r.Source(i), r.Datagram(i))
+			out.Add(g.Effects())
+		}
+	})
+	out.Flush()
+	return n, nil
+}
+
 func (a *Agent) fromBalancer(g *flow.Gate, now time.Time, from netip.AddrPort, datagram []byte) {
 	m, packet, ok := flowframe.Decode(datagram)
 	if !ok {
--- a/internal/flowbalancer/balancer.go
+++ b/internal/flowbalancer/balancer.go
@@ -205,24 +205,32 @@
 func (b *Balancer) readCallers() error {
 	r, out := udp.NewReader(b.callers), b.output()
 	for {
-		n, err := r.Read()
-		if err != nil {
+		if _, err := b.callersBatch(r, out); err != nil {
 			return udp.IgnoreClosed(err)
 		}
-		b.decide(out, func(d *flow.Director, now time.Time) {
-			b.callerAt.Store(now.UnixNano())
-			for i := range n {
-				packet := r.Datagram(i)
-				if s, ok := b.cfg.Codec.FromCaller(packet); ok && !r.Truncated(i) {
-					d.FromCaller(now, s, packet)
-				}
-				out.Add(d.Effects())
-			}
-		})
-		out.Flush()
 	}
 }
 
+// callersBatch takes what one read brings and returns the number of packets.
+func (b *Balancer) callersBatch(r *udp.Reader, out *node.Output) (int, error) {
+	n, err := r.Read()
+	if err != nil {
+		return 0, err
+	}
+	b.decide(out, func(d *flow.Director, now time.Time) {
+		b.callerAt.Store(now.UnixNano())
+		for i := range n {
+			packet := r.Datagram(i)
+			if s, ok := b.cfg.Codec.FromCaller(packet); ok && !r.Truncated(i) {
+				d.FromCaller(now, s, packet)
+			}
+			out.Add(d.Effects())
+		}
+	})
+	out.Flush()
+	return n, nil
+}
+
 // readAgents is the duty that takes agents' messages.
 func (b *Balancer) readAgents() error {
 	r, out := udp.NewReader(b.internal), b.output()
