--- a/cmd/hemlock-agent/platform.go
+++ b/cmd/hemlock-agent/platform.go
@@ -25,6 +25,7 @@
 		Control:     platform.ControlPages,
 		Readiness:   platform.ReadinessPage,
 		CheckServer: platform.CheckServer,
+		Traces:      p.Daemon.Traces,
 	}, p.Daemon.Log, p.Daemon.Registry)
 	if err != nil {
 		return err
--- a/cmd/hemlock-balancer/platform.go
+++ b/cmd/hemlock-balancer/platform.go
@@ -26,6 +26,7 @@
 		ConfigKey:   platform.ConfigKey,
 		ParseConfig: platform.ParseConfig,
 		Readiness:   platform.ReadinessPage,
+		Traces:      p.Daemon.Traces,
 	}, p.Daemon.Log, p.Daemon.Registry)
 	if err != nil {
 		return err
--- a/cmd/hemlockctl/main.go
+++ b/cmd/hemlockctl/main.go
@@ -1,4 +1,5 @@
-// Command hemlockctl edits and shows the catalogue.
+// Command hemlockctl edits and shows the catalogue, shows the state of a system on
+// the users' platform, and follows one flow through the logs of its processes.
 //
 // Exit codes: 0 accepted or shown; 1 refused or failed, nothing of the edit
 // that the message names is in force; 2 wrong usage or settings; 3 unknown
@@ -55,6 +56,8 @@
 	{"get", "SERVICE", "show one entry as a file that apply takes", nil, (*cli).get},
 	{"list", "", "list all entries", nil, (*cli).list},
 	{"history", "", "list the changes that the store keeps", historyFlags, (*cli).history},
+	{"platform", "", "show what the platform's store holds and what processes believe, read-only", platformFlags, (*cli).platform},
+	{"flow", "CALLER LOG...", "tell one flow's story from the logs of several processes", storyFlags, (*cli).flow},
 	{"status", "", "show the revision in force at each balancer", statusFlags, (*cli).status},
 }
 
--- /dev/null
+++ b/cmd/hemlockctl/platform.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hemlockscale/hemlockscale/internal/node"
+	"github.com/hemlockscale/hemlockscale/internal/store"
+	"github.com/hemlockscale/hemlockscale/platform"
+)
+
+// beliefsLimit bounds a process's answer in bytes: some hundred agents.
+const beliefsLimit = 1 << 20
+
+func platformFlags(fs *flag.FlagSet, s *settings) {
+	fs.StringVar(&s.nodes, "nodes", "", "admin addresses of processes that are asked what they believe, as address:port,address:port")
+}
+
+// platformView is what the platform's store holds and what processes believe.
+type platformView struct {
+	Revision uint64       `json:"revision"`
+	Routes   int          `json:"routes"`
+	Refused  []string     `json:"refused,omitempty"` // parts of the configuration that can't be read
+	Error    string       `json:"error,omitempty"`   // of the store
+	Keys     []node.Peer  `json:"keys"`
+	Nodes    []nodeBelief `json:"nodes"`
+}
+
+// nodeBelief is one process's answer and what it means.
+type nodeBelief struct {
+	Address string       `json:"address"`
+	Beliefs node.Beliefs `json:"beliefs"`
+	State   string       `json:"state"`
+	Error   string       `json:"error,omitempty"`
+}
+
+var errDiffers = errors.New("not everything is in force and reachable; see the table")
+
+// platform shows the state of a system on the users' platform. It only reads.
+func (c *cli) platform(ctx context.Context) error {
+	ctx, cancel := c.deadline(ctx)
+	defer cancel()
+	addr, err := storeAddress(c.storeURL)
+	if err != nil {
+		return err
+	}
+	v := readPlatform(ctx, platform.NewStore(platform.StoreConfig{Address: addr}))
+	v.Nodes = askBeliefs(ctx, strings.FieldsFunc(c.nodes, func(r rune) bool { return r == ',' || r == ' ' }))
+	good := v.Error == "" && len(v.Refused) == 0
+	for i := range v.Nodes {
+		n := &v.Nodes[i]
+		n.State = n.judge(&v)
+		good = good && (n.State == stateInForce || n.State == "ready")
+	}
+	if err := c.showPlatform(&v); err != nil {
+		return err
+	}
+	if !good {
+		return errDiffers
+	}
+	return nil
+}
+
+func storeAddress(s string) (netip.AddrPort, error) {
+	u, err := url.Parse(s)
+	if err == nil {
+		if a, err := netip.ParseAddrPort(u.Host); err == nil {
+			return a, nil
+		}
+	}
+	return netip.AddrPort{}, usagef("-store %q is no URL with an address and a port; write it like http://10.200.1.7:8169", s)
+}
+
+func readPlatform(ctx context.Context, s node.Store) (v platformView) {
+	value, err := s.Get(ctx, platform.ConfigKey)
+	if err != nil {
+		v.Error = err.Error()
+		return v
+	}
+	routes, refused := platform.ParseConfig(value.Data)
+	for _, err := range refused {
+		v.Refused = append(v.Refused, err.Error())
+	}
+	if routes != nil {
+		v.Revision, v.Routes = routes.Revision, routes.Len()
+	}
+	items, err := s.List(ctx, node.PeersPrefix, false)
+	if err != nil {
+		v.Error = err.Error()
+		return v
+	}
+	for _, i := range items {
+		v.Keys = append(v.Keys, peerOf(i))
+	}
+	return v
+}
+
+// peerOf reads a process's key. One that can't be read is shown with its key as
+// the role.
+func peerOf(i store.Item) node.Peer {
+	var p node.Peer
+	if json.Unmarshal(i.Data, &p) != nil {
+		p.Role = node.Role("unreadable key " + i.Key)
+	}
+	return p
+}
+
+func askBeliefs(ctx context.Context, addresses []string) []nodeBelief {
+	client := &http.Client{Timeout: nodeTimeout}
+	defer client.CloseIdleConnections()
+	nodes := make([]nodeBelief, len(addresses))
+	tokens := make(chan struct{}, askedAtOnce)
+	var wg sync.WaitGroup
+	for i, a := range addresses {
+		wg.Go(func() {
+			tokens <- struct{}{}
+			nodes[i].Address = a
+			if err := getJSON(ctx, client, "http://"+a+node.BeliefsPath, beliefsLimit, &nodes[i].Beliefs); err != nil {
+				nodes[i].Error = err.Error()
+			}
+			<-tokens
+		})
+	}
+	wg.Wait()
+	return nodes
+}
+
+// getJSON reads a page of a process.
+func getJSON(ctx context.Context, client *http.Client, url string, limit int64, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %s", resp.Status)
+	}
+	return json.NewDecoder(io.LimitReader(resp.Body, limit)).Decode(out)
+}
+
+// judge says in a word how a process stands to the store.
+func (n *nodeBelief) judge(v *platformView) string {
+	b := n.Beliefs.Balancer
+	switch {
+	case n.Error != "":
+		return stateUnreachable
+	case n.Beliefs.Agent != nil:
+		return n.Beliefs.Agent.State
+	case b == nil:
+		return "no beliefs"
+	case !b.Ready:
+		return "not ready"
+	case v.Error != "":
+		return stateNoStore
+	case b.Revision < v.Revision:
+		return stateBehind
+	case b.Revision > v.Revision:
+		return stateAhead
+	}
+	return stateInForce
+}
+
+func (c *cli) showPlatform(v *platformView) error {
+	if c.output == outJSON {
+		return writeJSON(c.out, v)
+	}
+	if v.Error != "" {
+		fmt.Fprintln(c.out, "store:", v.Error)
+	} else {
+		fmt.Fprintf(c.out, "store: configuration %d with %d routes, %d keys\n", v.Revision, v.Routes, len(v.Keys))
+	}
+	for _, r := range v.Refused {
+		fmt.Fprintln(c.out, "refused:", r)
+	}
+	var keys []string
+	for _, p := range v.Keys {
+		keys = append(keys, row(p.Addr, p.Role, p.Zone, p.Service))
+	}
+	if err := table(c.out, "KEY OF\tROLE\tZONE\tSERVICE", keys); err != nil || len(v.Nodes) == 0 {
+		return err
+	}
+	var rows []string
+	for i := range v.Nodes {
+		rows = append(rows, v.Nodes[i].rows()...)
+	}
+	return table(c.out, "\nASKED\tVM\tROLE\tSTATE\tBELIEVES", rows)
+}
+
+// rows returns the line of a process and, below a balancer, one for each agent
+// that it does not take for ready.
+func (n *nodeBelief) rows() []string {
+	head := func(believes string) string {
+		return row(n.Address, n.Beliefs.VM, n.Beliefs.Role, n.State, believes)
+	}
+	if n.Error != "" {
+		return []string{head(n.Error)}
+	}
+	if a := n.Beliefs.Agent; a != nil {
+		return []string{head(fmt.Sprintf("instance %s, heartbeat %d %s, %d requests on %d slots, %d queued, %d flows", a.Instance, a.Sequence, ago(a.HeartbeatAge), a.Requests, a.Slots, a.Queued, a.Flows))}
+	}
+	b := n.Beliefs.Balancer
+	if b == nil {
+		return []string{head("")}
+	}
+	list := []string{head(fmt.Sprintf("configuration %d, read %s, %d agents, %d missing, knows all: %t, %d flows", b.Revision, ago(b.ReadAge), len(b.Agents), len(b.Missing), b.Complete, b.Flows))}
+	for _, a := range b.Agents {
+		if a.State != "ready" || a.Silent {
+			list = append(list, row("", "", "", "", fmt.Sprintf("agent %v: %s, silent: %t, heard %s", a.Addr, a.State, a.Silent, ago(a.Age))))
+		}
+	}
+	return list
+}
+
+// ago writes an age; negative ones stand for what has not happened.
+func ago(age time.Duration) string {
+	if age < 0 {
+		return "never"
+	}
+	return age.Round(time.Millisecond).String() + " ago"
+}
--- a/cmd/hemlockctl/settings.go
+++ b/cmd/hemlockctl/settings.go
@@ -32,6 +32,8 @@
 	after     uint64
 	limit     int
 	balancers string
+	nodes     string
+	around    time.Duration
 }
 
 func commonFlags(fs *flag.FlagSet, s *settings) {
--- a/cmd/hemlockctl/status.go
+++ b/cmd/hemlockctl/status.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -111,22 +109,7 @@
 
 func askOne(ctx context.Context, client *http.Client, address string) nodeStatus {
 	n := nodeStatus{Address: address}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/catalogue", nil)
-	if err != nil {
-		n.Error = err.Error()
-		return n
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		n.Error = err.Error()
-		return n
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		n.Error = "status " + resp.Status
-		return n
-	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, nodeLimit)).Decode(&n); err != nil {
+	if err := getJSON(ctx, client, "http://"+address+"/catalogue", nodeLimit, &n); err != nil {
 		n.Error = err.Error()
 	}
 	n.Address = address
--- /dev/null
+++ b/cmd/hemlockctl/story.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxLogLine bounds a line of a log in bytes; longer ones are refused with the
+// file's name.
+const maxLogLine = 1 << 20
+
+// storyFlags are the flags of flow.
+func storyFlags(fs *flag.FlagSet, s *settings) {
+	fs.DurationVar(&s.around, "around", 0, "also show what the processes believed anew this long before the flow's first line and after its last")
+}
+
+// logLine is one line of a process's log.
+type logLine struct {
+	At     time.Time         `json:"at"`
+	Source string            `json:"source"` // the file, and what stands before the line in it
+	Role   string            `json:"role"`
+	Msg    string            `json:"msg"`
+	Flow   string            `json:"flow,omitempty"`
+	Fields map[string]string `json:"fields,omitempty"`
+	order  []string          // names of the fields as they stood
+}
+
+// flow prints what several processes' logs say about one flow, in the order of
+// time.
+func (c *cli) flow(context.Context) error {
+	if len(c.args) < 2 {
+		return usagef("name the caller's address, with its port if it is known, and the processes' logs")
+	}
+	caller, err := parseCaller(c.args[0])
+	if err != nil {
+		return err
+	}
+	var lines []logLine
+	for _, name := range c.args[1:] {
+		more, err := readLog(name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	story := selectStory(lines, caller, c.around)
+	if len(story) == 0 {
+		return fmt.Errorf("no line of %d speaks of a flow of %s; name more logs, or of one message only the first 100 lines a second are written, and then every 50th", len(lines), c.args[0])
+	}
+	return c.showStory(story)
+}
+
+// parseCaller takes an address, or an address with a port.
+func parseCaller(s string) (match func(flow string) bool, err error) {
+	if a, err := netip.ParseAddrPort(s); err == nil {
+		prefix := a.String() + ">"
+		return func(flow string) bool { return strings.HasPrefix(flow, prefix) }, nil
+	}
+	a, err := netip.ParseAddr(s)
+	if err != nil {
+		return nil, usagef("%q is no caller; write an address like 100.64.0.7 or 100.64.0.7:40001", s)
+	}
+	prefix := a.String() + ":"
+	return func(flow string) bool { return strings.HasPrefix(flow, prefix) }, nil
+}
+
+func readLog(name string) ([]logLine, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, usagef("%v; name a file that can be read", err)
+	}
+	defer f.Close()
+	lines, err := parseLog(f, filepath.Base(name))
+	if err != nil {
+		return nil, usagef("%s: %v", name, err)
+	}
+	return lines, nil
+}
+
+// parseLog reads the lines of a log. What stands before a line's JSON object,
+// such as the name of a VM, becomes a part of the source; lines without an
+// object are left out.
+func parseLog(r io.Reader, source string) ([]logLine, error) {
+	var lines []logLine
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		at := bytes.IndexByte(s.Bytes(), '{')
+		if at < 0 {
+			continue
+		}
+		l, ok := parseLine(s.Bytes()[at:])
+		if !ok {
+			continue
+		}
+		l.Source = strings.TrimSpace(source + " " + strings.TrimSpace(string(s.Bytes()[:at])))
+		lines = append(lines, l)
+	}
+	return lines, s.Err()
+}
+
+func parseLine(data []byte) (l logLine, ok bool) {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(data, &fields) != nil {
+		return l, false
+	}
+	l.Fields = make(map[string]string, len(fields))
+	for _, name := range fieldNames(data) {
+		value := text(fields[name])
+		switch name {
+		case "ts":
+			t, err := time.Parse(time.RFC3339Nano, value)
+			if err != nil {
+				return l, false
+			}
+			l.At = t
+		case "msg":
+			l.Msg = value
+		case "role":
+			l.Role = value
+		case "flow":
+			l.Flow = value
+		case "level":
+		default:
+			l.Fields[name] = value
+			l.order = append(l.order, name)
+		}
+	}
+	return l, !l.At.IsZero()
+}
+
+// fieldNames returns the names of an object's fields in their order.
+func fieldNames(data []byte) []string {
+	var names []string
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.Token() // the object's beginning; it was decoded whole before
+	for d.More() {
+		name, err := d.Token()
+		if err != nil {
+			return names
+		}
+		var value json.RawMessage
+		if d.Decode(&value) != nil {
+			return names
+		}
+		names = append(names, fmt.Sprint(name))
+	}
+	return names
+}
+
+// text returns a string without its quotes, any other value as it is written.
+func text(raw json.RawMessage) string {
+	var s string
+	if json.Unmarshal(raw, &s) == nil {
+		return s
+	}
+	return string(raw)
+}
+
+// selectStory returns the lines of the flows that match, in the order of time,
+// and of the others without a flow those that are at most around away.
+func selectStory(lines []logLine, match func(string) bool, around time.Duration) []logLine {
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.At.Compare(b.At) })
+	first, last := -1, -1
+	for i := range lines {
+		if match(lines[i].Flow) {
+			if first < 0 {
+				first = i
+			}
+			last = i
+		}
+	}
+	if first < 0 {
+		return nil
+	}
+	from, to := lines[first].At.Add(-around), lines[last].At.Add(around)
+	var story []logLine
+	for _, l := range lines {
+		belief := l.Flow == "" && around > 0 && !l.At.Before(from) && !l.At.After(to)
+		if match(l.Flow) || belief {
+			story = append(story, l)
+		}
+	}
+	return story
+}
+
+func (c *cli) showStory(story []logLine) error {
+	if c.output == outJSON {
+		return writeJSON(c.out, story)
+	}
+	start := story[0].At
+	rows := make([]string, len(story))
+	for i, l := range story {
+		var fields []string
+		for _, name := range l.order {
+			fields = append(fields, name+"="+l.Fields[name])
+		}
+		rows[i] = row(fmt.Sprintf("+%.3f s", l.At.Sub(start).Seconds()), l.Source, l.Role, l.Flow, l.Msg, strings.Join(fields, " "))
+	}
+	fmt.Fprintln(c.out, "from", start.UTC().Format(time.RFC3339Nano))
+	return table(c.out, "TIME\tLOG\tROLE\tFLOW\tWHAT\tWITH", rows)
+}
--- a/flow/director.go
+++ b/flow/director.go
@@ -105,6 +105,7 @@
 // opening is a flow that is being offered to agents.
 type opening struct {
 	key     Key
+	opener  uint32 // sequence number of the first packet
 	route   Route
 	service ServiceID // of the route, for this flow
 	tried   [maxTried]netip.AddrPort
@@ -131,7 +132,8 @@
 type seek struct {
 	serial  uint64
 	asked   []question
-	all     bool      // every agent of the fleet was asked
+	all     bool // every agent of the fleet was asked
+	begun   time.Time
 	since   time.Time // of the packet that it is looked for with
 	segment Segment
 	packet  []byte
@@ -173,11 +175,13 @@
 	agents   map[netip.AddrPort]*agent
 	services map[ServiceID]*service
 
+	heardAny    bool                         // some agent was heard in this process
 	missing     map[netip.AddrPort]time.Time // agents that fell silent without a word, and when
 	balancers   map[netip.AddrPort]struct{}  // others
 	rosterKnown bool                         // one of them told its agents
 	othersNew   bool                         // one of them said that it has just started
 	rosterAt    time.Time                    // when they are asked next
+	confirm     confirmation                 // that the agents known are all
 
 	load    *placement.Load
 	flows   map[Key]*entry
@@ -297,7 +301,7 @@
 	if e.state == entryOpening {
 		// The caller has the server's answer, so the agent's message was lost
 		// or is late. If another agent's server was quicker, this one says so.
-		d.placed(e, e.agent)
+		d.taken(now, e, e.agent)
 	}
 	if d.agents[e.agent] == nil {
 		// Its server has ended, and the agent with it.
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -392,3 +392,109 @@
 		t.Fatalf("%d resets, served %d times", len(w.resets), c.served())
 	}
 }
+
+// Symptom: the callers of one balancer time out for as long as a cut lasts, while
+// the other balancers could serve them.
+// Sequence: a balancer that served flows is cut off from every agent, in both
+// directions or in one; the routers go on handing it packets. The cut heals.
+// Cause: a balancer says that it is ready as long as it has a configuration.
+func TestCutOffBalancerIsNotReady(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		cut  func(from, to netip.AddrPort) bool
+	}{
+		{"both ways", func(from, to netip.AddrPort) bool { return from == balancerA || to == balancerA }},
+		{"one way", func(from, _ netip.AddrPort) bool { return from == balancerA }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			if !w.balancers[balancerA].Ready() {
+				t.Fatal("not ready before the cut")
+			}
+			w.cut = c.cut
+			for port := range uint16(3) {
+				w.caller(port, listingPort).open(balancerA, 0)
+			}
+			w.pass(time.Second)
+			if w.balancers[balancerA].Ready() {
+				t.Error("ready without an agent that it can reach")
+			}
+			if !w.balancers[balancerB].Ready() {
+				t.Error("the other balancer is not ready")
+			}
+			w.pass(DefaultAgentForget)
+			if w.balancers[balancerA].Ready() {
+				t.Error("ready once the agents are forgotten")
+			}
+			w.cut = nil
+			for n := range 3 {
+				w.gate(n).Introduce(w.now, balancerA)
+			}
+			w.pass(time.Second)
+			if !w.balancers[balancerA].Ready() {
+				t.Error("not ready after the cut")
+			}
+		})
+	}
+}
+
+// Symptom: a balancer that starts behind a cut takes packets that it can't pass
+// on.
+// Sequence: it starts, learns the configuration and the agents from the store,
+// and no agent answers.
+// Cause: agents that were never heard count like ones that are about to answer.
+func TestBalancerThatHearsNobodyIsNotReady(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirector(now, DirectorConfig{Zone: "a"}, nil)
+	d.SetRoutes(testRoutes(1))
+	d.Introduce(now, agentAddr(0), listing, "a")
+	if !d.Ready() {
+		t.Error("not ready at the start, when agents are about to answer")
+	}
+	d.Tick(now.Add(ghostAfter))
+	if d.Ready() {
+		t.Error("ready although no agent answers")
+	}
+}
+
+// Symptom: an open flow is reset while its server holds it.
+// Sequence: an agent starts and becomes known to one balancer; what that one tells
+// the others of it gets lost. A flow is opened at the agent, and then comes by one
+// of the other balancers.
+// Cause: a balancer that once knew all agents takes those that it knows now for
+// all.
+func TestAgentThatOthersKnowIsAsked(t *testing.T) {
+	w := newWorld(t, 2)
+	w.balancers[balancerA].IntroduceBalancer(balancerB)
+	w.balancers[balancerB].IntroduceBalancer(balancerA)
+	w.pass(time.Second)
+	w.addAgent(2, records)
+	delete(w.balancers[balancerB].agents, agentAddr(2))
+	delete(w.gate(2).balancers, balancerB)
+	w.balancers[balancerB].retable(records)
+	c := w.caller(1, recordsPort)
+	c.open(balancerA, 0)
+	c.request(balancerB)
+	if len(w.resets) > 0 || c.served() != 1 {
+		t.Errorf("%d resets, served %d times", len(w.resets), c.served())
+	}
+}
+
+// Symptom: callers of flows that ended with their server wait for their deadlines.
+// Sequence: the other balancers are gone; a flow comes by that nobody holds.
+// Cause: a balancer waits for others to confirm that it knows all agents.
+func TestLostFlowIsResetWithoutOtherBalancers(t *testing.T) {
+	w := newWorld(t, 2)
+	w.balancers[balancerA].IntroduceBalancer(balancerB)
+	w.pass(5 * time.Second)
+	delete(w.balancers, balancerB)
+	c := w.caller(1, listingPort)
+	c.send(balancerA, Segment{Seq: 5, Ack: 77, HasAck: true, Data: 10})
+	if len(w.resets) > 0 {
+		t.Error("reset before others had the time to answer")
+	}
+	w.pass(maxAsked*askEvery + 100*time.Millisecond)
+	if len(w.resets) != 1 {
+		t.Errorf("%d resets", len(w.resets))
+	}
+}
--- a/flow/find.go
+++ b/flow/find.go
@@ -27,7 +27,7 @@
 func (d *Director) seek(now time.Time, e *entry, s *Segment, packet []byte, all bool) {
 	d.spare.drop(e)
 	k := d.spare.seek()
-	k.serial, k.all, k.since, k.segment = d.nextSerial(), all, now, *s
+	k.serial, k.begun, k.all, k.since, k.segment = d.nextSerial(), now, all, now, *s
 	k.packet = append(k.packet, packet...)
 	e.state = entrySought
 	e.seek = k
@@ -222,7 +222,7 @@
 		d.ask(k, others)
 		return
 	}
-	if !d.complete(now) {
+	if !d.complete(now) || !d.confirmed(now, k) {
 		if !k.unsure {
 			k.unsure = true
 			d.unsure = append(d.unsure, k)
@@ -239,8 +239,9 @@
 }
 
 // concludeUnsure comes back to the flows that nobody held when this balancer had
-// just started, or had lost agents from sight. Their callers repeat their packets at growing intervals; waiting
-// for the next one would take seconds.
+// just started, had lost agents from sight, or waited for others to confirm its
+// roster. Their callers repeat their packets at growing intervals; waiting for the
+// next one would take seconds.
 func (d *Director) concludeUnsure(now time.Time) {
 	if len(d.unsure) == 0 || !d.complete(now) {
 		return
--- a/flow/gate_test.go
+++ b/flow/gate_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 )
@@ -319,3 +320,33 @@
 		t.Fatalf("%d resets, served %d times", len(w.resets), c.served())
 	}
 }
+
+// Symptom: an open flow is reset while its server holds it.
+// Sequence: answers of the agent that holds the flow to a balancer get lost.
+// Another agent starts while its server is down, and is asked for the flow; it asks
+// the server, which does not react. A new instance of that server starts. The agent
+// is asked for the flow again.
+// Cause: whatever the old instance had been asked about counts as lost with it, and
+// a flow that one agent calls lost is looked for nowhere else.
+func TestSoughtFlowIsNotLostWithAnInstance(t *testing.T) {
+	w := newWorld(t, 3)
+	c := w.caller(1, listingPort)
+	c.open(balancerA, 0)
+	c.request(balancerA)
+	holder := agentAddr(c.holders()[0])
+	other := (c.holders()[0] + 1) % 3
+	w.cut = func(from, to netip.AddrPort) bool { return from == holder && to == balancerB }
+	g := w.restartAgent(other)
+	w.server(other).mute = true
+	g.Checked(w.now, Check{Answered: true, Instance: w.server(other).instance})
+	c.request(balancerB)
+	w.pass(200 * time.Millisecond)
+	w.server(other).mute = false
+	w.server(other).instance = "i-new"
+	w.beat(other, 1, false)
+	c.request(balancerB)
+	w.pass(time.Second)
+	if len(w.resets) > 0 {
+		t.Errorf("reset with sequence number %d while server %d holds the flow", w.resets[0].ResetSeq, c.holders()[0])
+	}
+}
--- a/flow/held.go
+++ b/flow/held.go
@@ -46,12 +46,12 @@
 }
 
 func (g *Gate) passOn(now time.Time, from netip.AddrPort, kind MessageKind, f *held, s *Segment, packet []byte) {
-	f.via = from
 	f.used = now
 	if f.state == gateAnswered {
 		f.state = gateOpen
-		g.trace.Opened(now, s.Key, now.Sub(f.opened))
+		g.trace.Opened(now, ID{s.Key, f.opener}, f.via, now.Sub(f.opened))
 	}
+	f.via = from
 	g.noteCaller(now, f, s)
 	if kind == Seek && f.state == gateOpen {
 		g.reply(now, from, Message{Kind: Held, Key: s.Key}, nil)
@@ -105,9 +105,10 @@
 	} else {
 		g.stats.NotHeld++
 	}
-	if kind == Pass {
+	if kind == Pass || reason == ReasonLost {
 		g.trace.NotHeld(now, s.Key, reason)
-	} else {
+	}
+	if kind != Pass {
 		packet = nil
 	}
 	g.reply(now, to, Message{Kind: NotHeld, Reason: reason, Key: s.Key}, packet)
@@ -150,7 +151,7 @@
 			f.state = gateAnswered
 			g.answered.push(waiting{s.Key, now})
 			g.stats.Taken++
-			g.trace.Answered(now, s.Key, now.Sub(f.opened), g.requests)
+			g.trace.Answered(now, ID{s.Key, f.opener}, now.Sub(f.opened), g.requests)
 		}
 		if f.via.IsValid() {
 			g.reply(now, f.via, Message{Kind: Taken, Key: s.Key}, nil)
--- a/flow/message.go
+++ b/flow/message.go
@@ -68,7 +68,7 @@
 	Kind        MessageKind
 	Reason      Reason              // Refused, NotHeld; ReasonState in Hello, Roster: the sender has just started
 	State       ServerState         // sent by agents
-	Priority    uint8               // Open: of the route, 0 is the most urgent
+	Priority    uint8               // Open: of the route, 0 is the most urgent; Roster: messages of it that follow
 	OnTime      time.Duration       // Open: how long it may wait and still be answered in time
 	Wait        time.Duration       // Open: how long it may wait for room at all, 0 for not
 	Occupancy   placement.Occupancy // sent by agents
@@ -76,7 +76,7 @@
 	Revision    uint64              // newest configuration that the sender knows of
 	Heard       time.Duration       // Report: since the sender last heard the receiver
 	ReadAge     ReadAge             // of the latest read of the configuration that the sender knows of
-	Incarnation uint64              // sent by agents: drawn at the start of the process
+	Incarnation uint64              // sent by agents: drawn at the start of the process; AskRoster, Roster: number of the question
 	Key         Key                 // Taken, Refused, Queued, Held, NotHeld
 	Zone        uint32              // Report: hash of the sender's availability zone
 }
--- a/flow/offer.go
+++ b/flow/offer.go
@@ -52,7 +52,7 @@
 		return
 	}
 	o := d.spare.opening()
-	o.key, o.route, o.service, o.since, o.copies = s.Key, route, route.ServiceFor(s.Key), now, s.Ack
+	o.key, o.opener, o.route, o.service, o.since, o.copies = s.Key, s.Seq, route, route.ServiceFor(s.Key), now, s.Ack
 	o.synLen = copy(o.syn[:], packet)
 	e.state = entryOpening
 	e.opener = s.Seq
@@ -153,16 +153,16 @@
 // be reached the caller's next copy tries again; after the last copy it would
 // wait for nothing.
 func (d *Director) giveUp(now time.Time, o *opening, reason Reason) {
-	if o.busy == 0 && o.copies < lastCopy {
-		d.drop(reason)
-		d.trace.GaveUp(now, o.key, o.route, reason, o.tries, now.Sub(o.since))
-		d.forget(o.key)
-		return
-	}
+	reset := o.busy > 0 || o.copies >= lastCopy
 	if o.busy > 0 {
 		reason = ReasonBusy
 	}
+	d.trace.GaveUp(now, ID{o.key, o.opener}, o.route, reason, o.tries, now.Sub(o.since), reset)
 	d.forget(o.key)
+	if !reset {
+		d.drop(reason)
+		return
+	}
 	d.reset(now, o.key, o.key.strangeSeq(), reason)
 }
 
@@ -172,9 +172,15 @@
 	if e == nil || e.state != entryOpening {
 		return
 	}
+	d.taken(now, e, from)
+}
+
+// taken notes that a flow that was offered is at an agent.
+func (d *Director) taken(now time.Time, e *entry, agent netip.AddrPort) {
+	o := e.open
 	d.stats.Taken++
-	d.trace.Taken(now, m.Key, e.open.route, from, e.open.tries, now.Sub(e.open.since))
-	d.placed(e, from)
+	d.trace.Taken(now, ID{o.key, o.opener}, o.route, agent, o.tries, now.Sub(o.since))
+	d.placed(e, agent)
 }
 
 // onRefused offers the flow to the next agent.
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -70,6 +70,7 @@
 	before := *a
 	delete(d.missing, from)
 	a.heard = now
+	d.heardAny = true
 	a.silent = a.silent && !a.answers(now, m)
 	a.service, a.state, a.incarnation = m.Service, m.State, m.Incarnation
 	if m.Kind == Report {
@@ -213,6 +214,9 @@
 	if !d.rosterKnown && len(d.balancers) > 0 && now.Sub(d.started) < aloneAfter && d.rosterAt.Before(next) {
 		next = d.rosterAt
 	}
+	if at, ok := d.confirm.due(); ok && at.Before(next) {
+		next = at
+	}
 	if d.asking.len() > 0 && d.asking.first().at.Before(next) {
 		next = d.asking.first().at
 	}
@@ -251,5 +255,20 @@
 	return time.Duration(d.routes.IdleMs) * time.Millisecond
 }
 
-// Ready reports whether new flows can be offered: the routes are known.
-func (d *Director) Ready() bool { return d.routes != nil }
+// Ready reports whether new flows can be offered: the routes are known and some
+// agent can be reached. A balancer that is cut off from all of them serves
+// nobody, and the routers have others.
+func (d *Director) Ready() bool { return d.routes != nil && d.reaches() }
+
+// reaches reports whether some agent can be reached or is about to answer.
+func (d *Director) reaches() bool {
+	for _, a := range d.agents {
+		if !a.heard.IsZero() && !a.silent {
+			return true
+		}
+	}
+	if d.heardAny {
+		return false
+	}
+	return len(d.agents) == 0 || d.now.Sub(d.started) < ghostAfter
+}
--- a/flow/roster.go
+++ b/flow/roster.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -76,14 +77,7 @@
 		return
 	}
 	d.rosterAt = now.Add(askRosterEvery)
-	asked := 0
-	for addr := range d.balancers {
-		if asked == askRosters {
-			return
-		}
-		asked++
-		d.send(addr, Message{Kind: AskRoster}, nil)
-	}
+	d.askBalancers(Message{Kind: AskRoster})
 }
 
 // sure reports whether this balancer knows all agents that may hold a flow: one
@@ -105,10 +99,11 @@
 	d.Confirm(readAt(now, m.ReadAge))
 	d.IntroduceBalancer(from)
 	if m.Kind == AskRoster {
-		d.sendRoster(now, from)
+		d.sendRoster(now, from, m.Incarnation)
 		return
 	}
 	d.takeRoster(now, roster)
+	defer d.onConfirmed(now, m)
 	if m.Reason == ReasonState {
 		d.othersNew = true
 	} else if len(roster) > 0 {
@@ -116,29 +111,31 @@
 	}
 }
 
-// sendRoster tells the agents that were heard by this balancer itself. One that
-// has just started says so: the few that it knows would pass for all.
-func (d *Director) sendRoster(now time.Time, to netip.AddrPort) {
-	m := Message{Kind: Roster}
+// sendRoster tells the agents that were heard by this balancer itself, in answer
+// to a question. One that has just started says so: the few that it knows would
+// pass for all.
+func (d *Director) sendRoster(now time.Time, to netip.AddrPort, question uint64) {
+	m := Message{Kind: Roster, Incarnation: question}
 	if !d.sure(now) {
 		m.Reason = ReasonState
 	}
-	var b []byte
-	part := 0
-	flush := func() {
-		d.send(to, m, b)
-		b, part = nil, 0
-	}
+	var heard []*agent
 	for _, a := range d.agents {
-		if a.heard.IsZero() {
-			continue
+		if !a.heard.IsZero() {
+			heard = append(heard, a)
 		}
-		b = a.appendRoster(b)
-		if part++; part == rosterPart {
-			flush()
+	}
+	parts := max(1, (len(heard)+rosterPart-1)/rosterPart)
+	for left := parts - 1; left >= 0; left-- {
+		m.Priority = uint8(min(left, math.MaxUint8))
+		var b []byte
+		n := min(len(heard), rosterPart)
+		for _, a := range heard[:n] {
+			b = a.appendRoster(b)
 		}
+		heard = heard[n:]
+		d.send(to, m, b)
 	}
-	flush()
 }
 
 func (a *agent) appendRoster(b []byte) []byte {
--- a/flow/server.go
+++ b/flow/server.go
@@ -107,13 +107,19 @@
 	// All flows of this instance came through this process if it heard of the
 	// instance from its beginning, or knew the one before.
 	v.complete = hadOne || v.absent || b.Sequence <= earlySequence
-	for _, f := range g.flows {
-		if hadOne || f.state != gateOpen {
+	for key, f := range g.flows {
+		switch {
+		case f.state == gateLost:
+		case f.state != gateOpen:
+			// Whether this server or another one had the flow was not known, so
+			// it can't be called lost.
+			g.forget(key)
+		case hadOne:
 			g.end(f)
 			f.state = gateLost
-			continue
+		default:
+			f.instance = v.instance
 		}
-		f.instance = v.instance
 	}
 	g.waiting = fifo[waiting]{}
 	g.trace.Instance(now, v.instance, b.Sequence, v.complete)
@@ -191,3 +197,7 @@
 		g.stateChanged(now, before, "packet")
 	}
 }
+
+// HeartbeatAge returns the time since the server's last heartbeat, negative if
+// there was none.
+func (g *Gate) HeartbeatAge(now time.Time) time.Duration { return ageSince(now, g.server.heartbeatAt) }
--- a/flow/trace.go
+++ b/flow/trace.go
@@ -11,11 +11,12 @@
 // return at once.
 type Tracer interface {
 	// Taken: the agent's server answered the caller, after so many offers.
-	Taken(now time.Time, key Key, route Route, agent netip.AddrPort, offers int, after time.Duration)
+	Taken(now time.Time, id ID, route Route, agent netip.AddrPort, offers int, after time.Duration)
 	// Refused: an agent did not take the flow. It is offered to another.
 	Refused(now time.Time, key Key, route Route, agent netip.AddrPort, reason Reason, occupancy placement.Occupancy)
-	// GaveUp: nobody took the flow, and its caller is left to repeat.
-	GaveUp(now time.Time, key Key, route Route, reason Reason, offers int, after time.Duration)
+	// GaveUp: nobody took the flow. Its caller is told by a reset, or left to
+	// repeat.
+	GaveUp(now time.Time, id ID, route Route, reason Reason, offers int, after time.Duration, reset bool)
 	// Reset: the caller is told that the flow is not open.
 	Reset(now time.Time, key Key, reason Reason)
 	// Sought: a flow that is not known is looked for at so many agents.
@@ -28,9 +29,9 @@
 
 type noTracer struct{}
 
-func (noTracer) Taken(time.Time, Key, Route, netip.AddrPort, int, time.Duration)            {}
+func (noTracer) Taken(time.Time, ID, Route, netip.AddrPort, int, time.Duration)             {}
 func (noTracer) Refused(time.Time, Key, Route, netip.AddrPort, Reason, placement.Occupancy) {}
-func (noTracer) GaveUp(time.Time, Key, Route, Reason, int, time.Duration)                   {}
+func (noTracer) GaveUp(time.Time, ID, Route, Reason, int, time.Duration, bool)              {}
 func (noTracer) Reset(time.Time, Key, Reason)                                               {}
 func (noTracer) Sought(time.Time, Key, int, bool)                                           {}
 func (noTracer) Found(time.Time, Key, netip.AddrPort, time.Duration)                        {}
@@ -42,9 +43,9 @@
 	// Refused: a flow that a balancer offered does not reach the server.
 	Refused(now time.Time, key Key, reason Reason, state ServerState, requests int)
 	// Answered: the server answered a flow's first packet.
-	Answered(now time.Time, key Key, after time.Duration, requests int)
-	// Opened: the caller confirmed the flow.
-	Opened(now time.Time, key Key, after time.Duration)
+	Answered(now time.Time, id ID, after time.Duration, requests int)
+	// Opened: the caller confirmed the flow, which the balancer at via offered.
+	Opened(now time.Time, id ID, via netip.AddrPort, after time.Duration)
 	// NotHeld: a packet met no flow at the server.
 	NotHeld(now time.Time, key Key, reason Reason)
 	// State: what is believed about the server has changed.
@@ -58,10 +59,10 @@
 
 type noGateTracer struct{}
 
-func (noGateTracer) Refused(time.Time, Key, Reason, ServerState, int)  {}
-func (noGateTracer) Answered(time.Time, Key, time.Duration, int)       {}
-func (noGateTracer) Opened(time.Time, Key, time.Duration)              {}
-func (noGateTracer) NotHeld(time.Time, Key, Reason)                    {}
-func (noGateTracer) State(time.Time, ServerState, ServerState, string) {}
-func (noGateTracer) Instance(time.Time, string, uint64, bool)          {}
-func (noGateTracer) OldHeartbeat(time.Time, string, uint64)            {}
+func (noGateTracer) Refused(time.Time, Key, Reason, ServerState, int)    {}
+func (noGateTracer) Answered(time.Time, ID, time.Duration, int)          {}
+func (noGateTracer) Opened(time.Time, ID, netip.AddrPort, time.Duration) {}
+func (noGateTracer) NotHeld(time.Time, Key, Reason)                      {}
+func (noGateTracer) State(time.Time, ServerState, ServerState, string)   {}
+func (noGateTracer) Instance(time.Time, string, uint64, bool)            {}
+func (noGateTracer) OldHeartbeat(time.Time, string, uint64)              {}
--- a/flow/types.go
+++ b/flow/types.go
@@ -53,6 +53,18 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(k.Service), k.ServicePort)
 }
 
+// ID identifies one flow among those that a caller opens from the same port one
+// after the other.
+type ID struct {
+	Key    Key
+	Opener uint32 // sequence number of the first packet
+}
+
+// Append appends the encoded ID, 16 bytes, to b.
+func (id ID) Append(b []byte) []byte {
+	return binary.LittleEndian.AppendUint32(id.Key.Append(b), id.Opener)
+}
+
 // Segment is what a packet's header says. Seq and Ack count bytes, as in TCP.
 type Segment struct {
 	Key     Key
--- a/internal/flowagent/agent.go
+++ b/internal/flowagent/agent.go
@@ -24,6 +24,7 @@
 	"github.com/hemlockscale/hemlockscale/flow"
 	"github.com/hemlockscale/hemlockscale/internal/flowframe"
 	"github.com/hemlockscale/hemlockscale/internal/node"
+	"github.com/hemlockscale/hemlockscale/internal/tracing"
 	"github.com/hemlockscale/hemlockscale/internal/udp"
 )
 
@@ -39,6 +40,7 @@
 	Readiness func(ready func() bool) http.Handler
 	// CheckServer asks the server for its status.
 	CheckServer func(ctx context.Context, server netip.AddrPort) (flow.Check, error)
+	Traces      *tracing.Provider // nil is off
 }
 
 const (
@@ -68,6 +70,7 @@
 	gate *flow.Gate
 
 	introducer *node.Introducer
+	heartbeat  prometheus.Histogram
 
 	beats      *node.Output // used under beatMu
 	beatMu     sync.Mutex
@@ -86,10 +89,14 @@
 	cfg.Gate.MaxAge = s.MaxFlowAge
 	cfg.Gate.Fresh = fresh(s)
 	a := &Agent{cfg: cfg, log: log, kick: make(chan struct{}, 1)}
-	a.gate = flow.NewGate(node.Now(), cfg.Gate, newTracer(log))
+	spans, err := node.NewSpans(cfg.Traces)
+	if err != nil {
+		return nil, err
+	}
+	a.gate = flow.NewGate(node.Now(), cfg.Gate, newTracer(log, spans, reg))
+	a.heartbeat = node.NewLatency(reg, "hemlock_heartbeat_answer_seconds", "time in which a heartbeat of the server is answered")
 	a.introduceSeeds(s.Seeds)
 	a.ctx, a.cancel = context.WithCancel(context.Background())
-	var err error
 	if a.control, err = net.Listen("tcp4", s.Control.String()); err != nil {
 		return nil, err
 	}
@@ -133,6 +140,14 @@
 	a.introduceSeeds(s.Seeds)
 }
 
+// Beliefs implements process.Part.
+func (a *Agent) Beliefs() node.Beliefs {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.gate.Beliefs(node.Now())
+	return node.Beliefs{VM: a.cfg.Settings.Name, Role: node.RoleAgent, Zone: a.cfg.Settings.Zone, Agent: &now}
+}
+
 // Ready reports whether the server takes new flows.
 func (a *Agent) Ready() bool {
 	a.mu.Lock()
@@ -191,6 +206,8 @@
 
 // Heartbeat implements node.ServerEvents.
 func (a *Agent) Heartbeat(b flow.Heartbeat) {
+	start := time.Now()
+	defer func() { a.heartbeat.Observe(time.Since(start).Seconds()) }()
 	a.event(func(now time.Time) { a.gate.Heartbeat(now, b) })
 }
 
--- a/internal/flowagent/trace.go
+++ b/internal/flowagent/trace.go
@@ -1,6 +1,7 @@
 package flowagent
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -10,23 +11,36 @@
 	"github.com/hemlockscale/hemlockscale/internal/node"
 )
 
-// tracer writes a log line for each decision that is not the ordinary one.
+// tracer writes a log line for each decision, and records times and spans.
 type tracer struct {
-	log *zap.Logger
+	log       *zap.Logger
+	spans     *node.Spans
+	answer    prometheus.Histogram
+	readiness *node.Readiness
 }
 
-func newTracer(log *zap.Logger) *tracer { return &tracer{log: log} }
+func newTracer(log *zap.Logger, spans *node.Spans, reg prometheus.Registerer) *tracer {
+	return &tracer{
+		log: log, spans: spans, readiness: node.NewReadiness(reg),
+		answer: node.NewLatency(reg, "hemlock_first_answer_seconds", "time from a flow's first packet at the agent until its server answered"),
+	}
+}
 
 // Refused implements flow.GateTracer.
 func (t *tracer) Refused(_ time.Time, key flow.Key, reason flow.Reason, state flow.ServerState, requests int) {
 	t.log.Info("flow refused", node.FlowField(key), zap.Stringer("reason", reason), zap.Stringer("state", state), zap.Int("requests", requests))
 }
 
-// Answered implements flow.GateTracer. It is the ordinary case.
-func (t *tracer) Answered(time.Time, flow.Key, time.Duration, int) {}
+// Answered implements flow.GateTracer. The line of a flow is that of Opened.
+func (t *tracer) Answered(_ time.Time, _ flow.ID, after time.Duration, _ int) {
+	t.answer.Observe(after.Seconds())
+}
 
-// Opened implements flow.GateTracer. It is the ordinary case.
-func (t *tracer) Opened(time.Time, flow.Key, time.Duration) {}
+// Opened implements flow.GateTracer.
+func (t *tracer) Opened(_ time.Time, id flow.ID, via netip.AddrPort, after time.Duration) {
+	t.log.Info("flow opened", node.FlowField(id.Key), zap.Stringer("via", via), zap.Duration("after", after))
+	t.spans.Agent(id, via, after)
+}
 
 // NotHeld implements flow.GateTracer.
 func (t *tracer) NotHeld(_ time.Time, key flow.Key, reason flow.Reason) {
@@ -36,6 +50,12 @@
 // State implements flow.GateTracer.
 func (t *tracer) State(_ time.Time, before, after flow.ServerState, why string) {
 	t.log.Info("server", zap.Stringer("before", before), zap.Stringer("state", after), zap.String("why", why))
+	if after != flow.ServerReady {
+		return
+	}
+	if after, first := t.readiness.Reached(); first {
+		t.log.Info("ready", zap.Duration("after", after))
+	}
 }
 
 // Instance implements flow.GateTracer.
@@ -57,6 +77,8 @@
 var (
 	descFlows         = prometheus.NewDesc("hemlock_flows", "flows remembered", nil, nil)
 	descRequests      = prometheus.NewDesc("hemlock_requests", "requests being worked on", nil, nil)
+	descState         = prometheus.NewDesc("hemlock_server_state", "1 for what is believed about the server", []string{"state"}, nil)
+	descHeartbeatAge  = prometheus.NewDesc("hemlock_heartbeat_age_seconds", "time since the server's last heartbeat; -1 if there was none", nil, nil)
 	descBalancers     = prometheus.NewDesc("hemlock_balancers", "balancers reported to", nil, nil)
 	descOffered       = prometheus.NewDesc("hemlock_flows_offered_total", "new flows offered by balancers", nil, nil)
 	descTaken         = prometheus.NewDesc("hemlock_flows_taken_total", "new flows that the server answered", nil, nil)
@@ -79,7 +101,8 @@
 // Collect implements prometheus.Collector.
 func (c *collector) Collect(ch chan<- prometheus.Metric) {
 	c.a.mu.Lock()
-	s := c.a.gate.Stats()
+	s, now := c.a.gate.Stats(), node.Now()
+	state, age := c.a.gate.State(now), c.a.gate.HeartbeatAge(now)
 	c.a.mu.Unlock()
 	gauge := func(d *prometheus.Desc, v int) {
 		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, float64(v))
@@ -90,6 +113,8 @@
 	gauge(descFlows, s.Flows)
 	gauge(descRequests, s.Requests)
 	gauge(descBalancers, s.Balancers)
+	ch <- prometheus.MustNewConstMetric(descState, prometheus.GaugeValue, 1, state.String())
+	ch <- prometheus.MustNewConstMetric(descHeartbeatAge, prometheus.GaugeValue, age.Seconds())
 	count(descOffered, s.Offered)
 	count(descTaken, s.Taken)
 	count(descNotHeld, s.NotHeld)
--- a/internal/flowbalancer/balancer.go
+++ b/internal/flowbalancer/balancer.go
@@ -25,6 +25,7 @@
 	"github.com/hemlockscale/hemlockscale/internal/flowframe"
 	"github.com/hemlockscale/hemlockscale/internal/node"
 	"github.com/hemlockscale/hemlockscale/internal/store"
+	"github.com/hemlockscale/hemlockscale/internal/tracing"
 	"github.com/hemlockscale/hemlockscale/internal/udp"
 )
 
@@ -40,6 +41,7 @@
 	ParseConfig func([]byte) (*flow.Routes, []error)
 	// Readiness builds the page that routers ask.
 	Readiness func(ready func() bool) http.Handler
+	Traces    *tracing.Provider // nil is off
 }
 
 const (
@@ -63,13 +65,14 @@
 
 // Balancer is one balancer process.
 type Balancer struct {
-	cfg      Config
-	log      *zap.Logger
-	callers  *udp.Conn
-	internal *udp.Conn
-	pages    net.Listener
-	shared   net.Listener // where other balancers ask for the configuration
-	follower *node.Follower
+	cfg       Config
+	log       *zap.Logger
+	callers   *udp.Conn
+	internal  *udp.Conn
+	pages     net.Listener
+	shared    net.Listener // where other balancers ask for the configuration
+	follower  *node.Follower
+	readiness *node.Readiness
 
 	mu        sync.Mutex
 	director  *flow.Director
@@ -78,6 +81,7 @@
 	lookAfter time.Duration // age of that read from which this process reads
 
 	stopping   atomic.Bool
+	saidReady  atomic.Bool  // what the readiness page said last
 	callerAt   atomic.Int64 // node.Now of the last caller's packet, in ns
 	look       chan struct{}
 	kick       chan struct{}
@@ -91,10 +95,14 @@
 	cfg.Director.Zone = cfg.Settings.Zone
 	cfg.Director.MaxAge = cfg.Settings.MaxFlowAge
 	b := &Balancer{cfg: cfg, log: log, look: make(chan struct{}, 1), kick: make(chan struct{}, 1)}
-	b.director = flow.NewDirector(node.Now(), cfg.Director, newTracer(log))
+	spans, err := node.NewSpans(cfg.Traces)
+	if err != nil {
+		return nil, err
+	}
+	b.director = flow.NewDirector(node.Now(), cfg.Director, newTracer(log, b.addr(), spans, reg))
+	b.readiness = node.NewReadiness(reg)
 	b.introduceSeeds(cfg.Settings.Seeds)
 	b.ctx, b.cancel = context.WithCancel(context.Background())
-	var err error
 	if b.callers, err = udp.Listen(cfg.Settings.Packets); err != nil {
 		return nil, err
 	}
@@ -122,8 +130,12 @@
 		return false
 	}
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.director.Ready()
+	ready, known := b.director.Ready(), b.director.Stats()
+	b.mu.Unlock()
+	if b.saidReady.Swap(ready) != ready {
+		b.log.Info("readiness", zap.Bool("ready", ready), zap.Int("agents", known.Agents), zap.Int("agents_ready", known.Ready))
+	}
+	return ready
 }
 
 // Run implements daemon.Part.
@@ -147,6 +159,14 @@
 	b.introduceSeeds(s.Seeds)
 }
 
+// Beliefs implements process.Part.
+func (b *Balancer) Beliefs() node.Beliefs {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.director.Beliefs(node.Now())
+	return node.Beliefs{VM: b.cfg.Settings.Name, Role: node.RoleBalancer, Zone: b.cfg.Settings.Zone, Balancer: &now}
+}
+
 // introduceSeeds makes the balancers known that the settings name, with b.mu
 // held.
 func (b *Balancer) introduceSeeds(seeds []netip.Addr) {
@@ -379,6 +399,9 @@
 	b.mu.Lock()
 	taken := b.director.SetRoutes(routes)
 	b.mu.Unlock()
+	if after, first := b.readiness.Reached(); first {
+		b.log.Info("ready", zap.Duration("after", after))
+	}
 	b.log.Info("configuration", zap.Uint64("revision", routes.Revision), zap.Bool("in_force", taken), zap.Int("routes", routes.Len()), zap.Duration("took", node.Now().Sub(start)))
 	return true
 }
--- a/internal/flowbalancer/trace.go
+++ b/internal/flowbalancer/trace.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/attribute"
 	"go.uber.org/zap"
 
 	"github.com/hemlockscale/hemlockscale/flow"
@@ -12,29 +13,37 @@
 	"github.com/hemlockscale/hemlockscale/placement"
 )
 
-// tracer writes a log line for each decision that is not the ordinary one.
+// tracer writes a log line for each decision, and records times and spans.
 type tracer struct {
-	log *zap.Logger
+	log   *zap.Logger
+	self  netip.AddrPort // of this balancer
+	spans *node.Spans
+	open  prometheus.Histogram
 }
 
-func newTracer(log *zap.Logger) *tracer { return &tracer{log: log} }
-
-// Taken implements flow.Tracer. A flow that the first agent took at once is
-// the ordinary case.
-func (t *tracer) Taken(_ time.Time, key flow.Key, route flow.Route, agent netip.AddrPort, offers int, after time.Duration) {
-	if offers > 1 {
-		t.log.Info("flow taken", node.FlowField(key), zap.String("route", route.Name), zap.Stringer("agent", agent), zap.Int("offers", offers), zap.Duration("after", after))
+func newTracer(log *zap.Logger, self netip.AddrPort, spans *node.Spans, reg prometheus.Registerer) *tracer {
+	return &tracer{
+		log: log, self: self, spans: spans,
+		open: node.NewLatency(reg, "hemlock_flow_taken_seconds", "time from a flow's first packet until an agent took it"),
 	}
 }
 
+// Taken implements flow.Tracer.
+func (t *tracer) Taken(_ time.Time, id flow.ID, route flow.Route, agent netip.AddrPort, offers int, after time.Duration) {
+	t.open.Observe(after.Seconds())
+	t.log.Info("flow taken", node.FlowField(id.Key), zap.String("route", route.Name), zap.Stringer("agent", agent), zap.Int("offers", offers), zap.Duration("after", after))
+	t.spans.Balancer(id, t.self, after, "", attribute.String("route", route.Name), attribute.Stringer("agent", agent), attribute.Int("offers", offers))
+}
+
 // Refused implements flow.Tracer.
 func (t *tracer) Refused(_ time.Time, key flow.Key, route flow.Route, agent netip.AddrPort, reason flow.Reason, occupancy placement.Occupancy) {
 	t.log.Info("flow refused by agent", node.FlowField(key), zap.String("route", route.Name), zap.Stringer("agent", agent), zap.Stringer("reason", reason), zap.Uint8("occupancy", uint8(occupancy)))
 }
 
 // GaveUp implements flow.Tracer.
-func (t *tracer) GaveUp(_ time.Time, key flow.Key, route flow.Route, reason flow.Reason, offers int, after time.Duration) {
-	t.log.Warn("flow not taken", node.FlowField(key), zap.String("route", route.Name), zap.Stringer("reason", reason), zap.Int("offers", offers), zap.Duration("after", after))
+func (t *tracer) GaveUp(_ time.Time, id flow.ID, route flow.Route, reason flow.Reason, offers int, after time.Duration, reset bool) {
+	t.log.Info("flow not taken", node.FlowField(id.Key), zap.String("route", route.Name), zap.Stringer("reason", reason), zap.Int("offers", offers), zap.Duration("after", after), zap.Bool("reset", reset))
+	t.spans.Balancer(id, t.self, after, reason.String(), attribute.String("route", route.Name), attribute.Int("offers", offers))
 }
 
 // Reset implements flow.Tracer.
@@ -70,6 +79,7 @@
 	descAgents   = prometheus.NewDesc("hemlock_agents", "agents known", nil, nil)
 	descReady    = prometheus.NewDesc("hemlock_agents_ready", "agents that take new flows", nil, nil)
 	descRevision = prometheus.NewDesc("hemlock_config_revision", "configuration in force", nil, nil)
+	descReadAge  = prometheus.NewDesc("hemlock_config_read_age_seconds", "time since some process last read the configuration in the store, as far as this one has heard; -1 if never", nil, nil)
 	descOffered  = prometheus.NewDesc("hemlock_flows_offered_total", "new flows offered to agents", nil, nil)
 	descTaken    = prometheus.NewDesc("hemlock_flows_taken_total", "new flows that an agent took", nil, nil)
 	descRefused  = prometheus.NewDesc("hemlock_offers_refused_total", "offers that an agent refused or left unanswered", []string{"reason"}, nil)
@@ -89,7 +99,10 @@
 func (c *collector) Collect(ch chan<- prometheus.Metric) {
 	c.b.mu.Lock()
 	s := c.b.director.Stats()
-	revision := uint64(0)
+	revision, age := uint64(0), -1.0
+	if at := c.b.director.ReadAt(); !at.IsZero() {
+		age = node.Now().Sub(at).Seconds()
+	}
 	if r := c.b.director.Routes(); r != nil {
 		revision = r.Revision
 	}
@@ -105,6 +118,7 @@
 	gauge(descAgents, s.Agents)
 	gauge(descReady, s.Ready)
 	gauge(descRevision, int(revision))
+	ch <- prometheus.MustNewConstMetric(descReadAge, prometheus.GaugeValue, age)
 	count(descOffered, s.Offered)
 	count(descTaken, s.Taken)
 	count(descSought, s.Sought)
--- /dev/null
+++ b/internal/node/beliefs.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/hemlockscale/hemlockscale/flow"
+)
+
+// BeliefsPath is the admin page on which a process tells what it believes.
+const BeliefsPath = "/beliefs"
+
+// Beliefs is the answer of the page. One of the two parts is set.
+type Beliefs struct {
+	VM       string                `json:"vm"`
+	Role     Role                  `json:"role"`
+	Zone     string                `json:"zone"`
+	Balancer *flow.DirectorBeliefs `json:"balancer,omitempty"`
+	Agent    *flow.GateBeliefs     `json:"agent,omitempty"`
+}
+
+// BeliefsPage serves what tell returns.
+func BeliefsPage(tell func() Beliefs) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		data, err := json.Marshal(tell())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(data)
+	}
+}
--- a/internal/node/introduce.go
+++ b/internal/node/introduce.go
@@ -36,10 +36,10 @@
 	Service string         `json:"service,omitempty"` // agents
 }
 
-// peersPrefix begins the keys of all processes.
-const peersPrefix = "hemlock/nodes/"
+// PeersPrefix begins the keys of all processes.
+const PeersPrefix = "hemlock/nodes/"
 
-func (p *Peer) key() string { return peersPrefix + p.Addr.String() }
+func (p *Peer) key() string { return PeersPrefix + p.Addr.String() }
 
 const (
 	// entryLease is how long the key of a process outlives it: longer than most
@@ -188,7 +188,7 @@
 
 // list reads the keys of all processes. The first read is never stale.
 func (i *Introducer) list(ctx context.Context) error {
-	items, err := i.Store.List(ctx, peersPrefix, i.readOnce)
+	items, err := i.Store.List(ctx, PeersPrefix, i.readOnce)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/node/spans_test.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+
+	"github.com/hemlockscale/hemlockscale/flow"
+	"github.com/hemlockscale/hemlockscale/internal/tracing"
+)
+
+// kept keeps the spans that a process exports.
+type kept struct{ spans chan sdk.ReadOnlySpan }
+
+func (k kept) ExportSpans(_ context.Context, spans []sdk.ReadOnlySpan) error {
+	for _, s := range spans {
+		k.spans <- s
+	}
+	return nil
+}
+
+func (kept) Shutdown(context.Context) error { return nil }
+
+// traced returns the spans of a process, and what it exports when end is called.
+func traced(t *testing.T, sample float64) (s *Spans, end func() []sdk.ReadOnlySpan) {
+	t.Helper()
+	k := kept{spans: make(chan sdk.ReadOnlySpan, 100)}
+	p := tracing.New(tracing.Config{Sample: sample}, k, prometheus.NewRegistry())
+	s, err := NewSpans(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, func() []sdk.ReadOnlySpan {
+		if err := p.Close(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		close(k.spans)
+		var list []sdk.ReadOnlySpan
+		for span := range k.spans {
+			list = append(list, span)
+		}
+		return list
+	}
+}
+
+// Symptom: a flow's hops can't be put together.
+// Sequence: a balancer offers a flow to an agent, which opens it.
+// Cause: the packets carry no trace; each process would make one of its own.
+func TestHopsOfAFlowAreOneTrace(t *testing.T) {
+	id := flow.ID{Key: flow.Key{Caller: [4]byte{100, 64, 0, 7}, CallerPort: 40001}, Opener: 77}
+	via := netip.MustParseAddrPort("10.0.0.1:7720")
+	balancer, endBalancer := traced(t, 1)
+	agent, endAgent := traced(t, 1)
+	balancer.Balancer(id, via, 20*time.Millisecond, "")
+	agent.Agent(id, via, 10*time.Millisecond)
+	id.Opener++
+	balancer.Balancer(id, via, time.Millisecond, "busy")
+	offers, opens := endBalancer(), endAgent()
+	if len(offers) != 2 || len(opens) != 1 {
+		t.Fatalf("%d and %d spans", len(offers), len(opens))
+	}
+	root, child := offers[0].SpanContext(), opens[0]
+	if child.Parent().SpanID() != root.SpanID() || child.SpanContext().TraceID() != root.TraceID() {
+		t.Errorf("the agent's span %v in trace %v is no child of the balancer's %v", child.Parent().SpanID(), child.SpanContext().TraceID(), root.SpanID())
+	}
+	if took := offers[0].EndTime().Sub(offers[0].StartTime()); took != 20*time.Millisecond {
+		t.Errorf("the span lasts %v", took)
+	}
+	if offers[1].SpanContext().TraceID() == root.TraceID() || offers[1].Status().Description != "busy" {
+		t.Errorf("the next flow from the port: trace %v, status %v", offers[1].SpanContext().TraceID(), offers[1].Status())
+	}
+}
+
+func TestSpansAreOffByDefault(t *testing.T) {
+	s, err := NewSpans(nil)
+	if s != nil || err != nil {
+		t.Fatalf("spans of no provider: %v, %v", s, err)
+	}
+	s.Balancer(flow.ID{}, netip.AddrPort{}, 0, "")
+	s.Agent(flow.ID{}, netip.AddrPort{}, 0)
+	none, end := traced(t, 0)
+	none.Balancer(flow.ID{}, netip.MustParseAddrPort("10.0.0.1:7720"), 0, "")
+	if got := end(); len(got) != 0 {
+		t.Errorf("%d spans at a share of 0", len(got))
+	}
+}
+
+func BenchmarkSpans(b *testing.B) {
+	via := netip.MustParseAddrPort("10.0.0.1:7720")
+	for _, c := range []struct {
+		name   string
+		sample float64
+	}{{"share=0.01", 0.01}, {"share=1", 1}} {
+		b.Run(c.name, func(b *testing.B) {
+			k := kept{spans: make(chan sdk.ReadOnlySpan, 100)}
+			go func() {
+				for range k.spans {
+				}
+			}()
+			p := tracing.New(tracing.Config{Sample: c.sample}, k, prometheus.NewRegistry())
+			defer p.End()
+			s, err := NewSpans(p)
+			if err != nil {
+				b.Fatal(err)
+			}
+			id := flow.ID{}
+			b.ReportAllocs()
+			for b.Loop() {
+				id.Opener++
+				s.Balancer(id, via, time.Millisecond, "")
+			}
+		})
+	}
+	b.Run("off", func(b *testing.B) {
+		var s *Spans
+		for b.Loop() {
+			s.Balancer(flow.ID{}, via, time.Millisecond, "")
+		}
+	})
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -28,6 +28,8 @@
 	Ready() bool
 	// Apply takes settings that have changed.
 	Apply(node.Settings)
+	// Beliefs tells what the part believes now.
+	Beliefs() node.Beliefs
 }
 
 // Open reads the settings file and opens the log and the metrics page.
@@ -56,6 +58,7 @@
 func (p *Process) Run(part Part, drain time.Duration) error {
 	p.Daemon.ReadyWhen(part.Ready)
 	p.Daemon.ReloadWhen(func() error { return p.reload(part) }, p.file.Changed)
+	p.Daemon.Mux.HandleFunc("GET "+node.BeliefsPath, node.BeliefsPage(part.Beliefs))
 	s := &p.Settings
 	p.Daemon.Log.Info("started", append(s.Fields(), zap.Stringer("packets", s.Packets), zap.Stringer("store", s.Store))...)
 	return p.Daemon.Run(part, drain)
--- a/internal/standin/platform/door.go
+++ b/internal/standin/platform/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -14,6 +15,9 @@
 	store *Store
 	http  *httptest.Server
 	fault Fault // guarded by store.mu; the zero fault leaves the store's own
+	// Translate, if not nil, changes the values that are read by this door. It
+	// has to be set before the door is used.
+	Translate func(value []byte) []byte
 
 	mu    sync.Mutex
 	conns []*silentConn
@@ -22,6 +26,12 @@
 // doorKey marks a request's context with its Door.
 type doorKey struct{}
 
+// doorOf returns the door that a request came by, nil for none.
+func doorOf(r *http.Request) *Door {
+	d, _ := r.Context().Value(doorKey{}).(*Door)
+	return d
+}
+
 // Addr returns the door's address.
 func (d *Door) Addr() netip.AddrPort {
 	return netip.MustParseAddrPort(strings.TrimPrefix(d.http.URL, "http://"))
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -257,7 +257,7 @@
 }
 
 func (s *Store) faultOf(r *http.Request) Fault {
-	if d, ok := r.Context().Value(doorKey{}).(*Door); ok && d.fault != (Fault{}) {
+	if d := doorOf(r); d != nil && d.fault != (Fault{}) {
 		return d.fault
 	}
 	a, err := netip.ParseAddrPort(r.RemoteAddr)
@@ -293,8 +293,12 @@
 			break
 		}
 		s.mu.Lock()
-		items = append(items, s.items[key])
+		i := s.items[key]
 		s.mu.Unlock()
+		if d := doorOf(r); d != nil && d.Translate != nil {
+			i.Value = d.Translate(i.Value)
+		}
+		items = append(items, i)
 	}
 	return http.StatusOK, map[string]any{"items": items, "hasMore": more, "storeRevision": s.revisionNow()}
 }
--- /dev/null
+++ b/internal/standin/platform/wire.go
@@ -0,0 +1,166 @@
+package platform
+
+import (
+	"bytes"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// WireFault is what is wrong on the way from one VM to another.
+type WireFault struct {
+	Cut       bool          // nothing arrives
+	Loss      float64       // share of datagrams that are lost
+	Duplicate float64       // share that arrives twice
+	Delay     time.Duration // of every datagram
+	Jitter    time.Duration // further delay of a random part, so that datagrams overtake each other
+}
+
+// Wire carries what the system's processes send to each other. Each process is
+// known to the others by an address of the wire; what comes there is handed on
+// from the wire's address of its sender.
+type Wire struct {
+	mu    sync.Mutex
+	rng   *rand.Rand
+	ends  map[netip.Addr]*wireEnd // by the process's own address
+	fault func(from, to netip.Addr) WireFault
+	done  sync.WaitGroup
+}
+
+type wireEnd struct {
+	own   netip.AddrPort // where the process listens
+	known netip.AddrPort // where others send to
+	udp   *net.UDPConn
+	tcp   net.Listener
+}
+
+// NewWire returns a sound wire without ends.
+func NewWire(seed uint64) *Wire {
+	return &Wire{rng: rand.New(rand.NewPCG(seed, 7)), ends: map[netip.Addr]*wireEnd{}, fault: func(_, _ netip.Addr) WireFault { return WireFault{} }}
+}
+
+// Add makes the process that listens at own known to the others at known.
+func (w *Wire) Add(own netip.AddrPort, known netip.Addr) error {
+	e := &wireEnd{own: own, known: netip.AddrPortFrom(known, own.Port())}
+	var err error
+	if e.udp, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.known)); err != nil {
+		return err
+	}
+	if e.tcp, err = net.Listen("tcp4", e.known.String()); err != nil {
+		e.udp.Close()
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ends[own.Addr()] = e
+	w.done.Go(func() { w.datagrams(e) })
+	w.done.Go(func() { w.connections(e) })
+	return nil
+}
+
+// SetFault sets what is wrong, by the own addresses of sender and receiver.
+func (w *Wire) SetFault(f func(from, to netip.Addr) WireFault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fault = f
+}
+
+// Close ends the wire.
+func (w *Wire) Close() {
+	w.mu.Lock()
+	for _, e := range w.ends {
+		e.udp.Close()
+		e.tcp.Close()
+	}
+	w.mu.Unlock()
+	w.done.Wait()
+}
+
+// Translate replaces the own addresses of processes other than reader by those
+// that they are known at, in what reader reads in the store.
+func (w *Wire) Translate(reader netip.Addr, value []byte) []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for addr, e := range w.ends {
+		if addr != reader {
+			value = bytes.ReplaceAll(value, []byte(`"`+e.own.String()+`"`), []byte(`"`+e.known.String()+`"`))
+		}
+	}
+	return value
+}
+
+func (w *Wire) datagrams(to *wireEnd) {
+	b := make([]byte, 2048)
+	for {
+		n, source, err := to.udp.ReadFromUDPAddrPort(b)
+		if err != nil {
+			return
+		}
+		from, copies, delay := w.plan(source.Addr().Unmap(), to.own.Addr())
+		packet := bytes.Clone(b[:n])
+		for range copies {
+			time.AfterFunc(delay, func() { from.udp.WriteToUDPAddrPort(packet, to.own) })
+		}
+	}
+}
+
+// plan decides what happens to one datagram.
+func (w *Wire) plan(source, to netip.Addr) (from *wireEnd, copies int, delay time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	from = w.ends[source]
+	if from == nil {
+		return nil, 0, 0
+	}
+	f := w.fault(source, to)
+	if f.Cut || w.rng.Float64() < f.Loss {
+		return from, 0, 0
+	}
+	copies = 1
+	if w.rng.Float64() < f.Duplicate {
+		copies = 2
+	}
+	delay = f.Delay
+	if f.Jitter > 0 {
+		delay += time.Duration(w.rng.Int64N(int64(f.Jitter)))
+	}
+	return from, copies, delay
+}
+
+// connections passes connections on; who connects can't be told on loopback, so
+// only a cut of the receiver from everybody stops them.
+func (w *Wire) connections(to *wireEnd) {
+	for {
+		c, err := to.tcp.Accept()
+		if err != nil {
+			return
+		}
+		w.mu.Lock()
+		cut := w.fault(netip.Addr{}, to.own.Addr()).Cut
+		w.mu.Unlock()
+		up, err := net.Dial("tcp4", to.own.String())
+		if err != nil {
+			c.Close()
+			continue
+		}
+		if cut {
+			c.Close()
+			up.Close()
+			continue
+		}
+		w.done.Go(func() { join(c, up) })
+	}
+}
+
+// join carries bytes both ways until one end is done.
+func join(c, up net.Conn) {
+	go func() {
+		io.Copy(up, c)
+		up.Close()
+	}()
+	io.Copy(c, up)
+	c.Close()
+}
--- a/internal/tracing/flow.go
+++ b/internal/tracing/flow.go
@@ -6,7 +6,6 @@
 	"crypto/cipher"
 	"crypto/subtle"
 	"encoding/binary"
-	"math"
 	"math/rand/v2"
 	"net/netip"
 
@@ -54,12 +53,7 @@
 		return nil, err
 	}
 	f := &Flows{block: b}
-	switch {
-	case sample >= 1:
-		f.limit = math.MaxUint64
-	case sample > 0:
-		f.limit = uint64(sample * math.MaxUint64)
-	}
+	f.setSample(sample)
 	return f, nil
 }
 
--- a/test/packets/fleet_test.go
+++ b/test/packets/fleet_test.go
@@ -39,6 +39,7 @@
 	balancerNet = iota + 1
 	agentNet
 	callerNet
+	wireNet // where processes are known to each other when a wire joins them
 )
 
 // limit bounds every wait for a condition.
@@ -49,14 +50,15 @@
 	t         testing.TB
 	net       *loopback.Network
 	store     *platform.Store
-	storeAddr netip.AddrPort // where the processes reach the store, if not by doors of their own
 	journal   *platform.Journal
 	router    *platform.Router
+	wire      *platform.Wire // nil: processes reach each other directly
 	balancers []*vm
 	agents    []*vm
 	revision  uint64
 	routes    map[string]string // service by host
 	idle      int               // further routes that see no traffic
+	known     []netip.Addr      // addresses of the wire in use
 	requests  atomic.Uint64
 }
 
@@ -67,6 +69,7 @@
 	addr    netip.Addr
 	service string
 	door    *platform.Door // where the process reaches the store
+	proxy   netip.AddrPort // before the door, if there is one
 	env     map[string]string
 	file    string // the settings file
 	maxAgeS int    // bound of a flow's age in the settings, in seconds
@@ -101,7 +104,21 @@
 // start runs a deployment. services names the service of each agent.
 func start(t testing.TB, balancers int, services ...string) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: platform.NewStore(), journal: platform.NewJournal(), routes: map[string]string{}}
+	return startOn(t, nil, balancers, services...)
+}
+
+// startWired runs a deployment whose processes reach each other by a wire that
+// can be disturbed.
+func startWired(t testing.TB, seed uint64, balancers int, services ...string) *deployment {
+	t.Helper()
+	w := platform.NewWire(seed)
+	t.Cleanup(w.Close)
+	return startOn(t, w, balancers, services...)
+}
+
+func startOn(t testing.TB, wire *platform.Wire, balancers int, services ...string) *deployment {
+	t.Helper()
+	d := &deployment{wire: wire, t: t, store: platform.NewStore(), journal: platform.NewJournal(), routes: map[string]string{}}
 	t.Cleanup(d.store.Close)
 	var err error
 	if d.net, err = loopback.Reserve(); err != nil {
@@ -119,10 +136,12 @@
 		packets = append(packets, netip.AddrPortFrom(v.addr, packetPort))
 		pages = append(pages, netip.AddrPortFrom(v.addr, readinessPort))
 	}
+	d.addToWire(d.balancers, internalPort)
 	for i, s := range services {
 		d.agents = append(d.agents, d.newVM("hemlock-agent", d.net.Addr(agentNet, i), s))
 	}
-	for _, v := range append(d.balancers[:len(d.balancers):len(d.balancers)], d.agents...) {
+	d.addToWire(d.agents, packetPort)
+	for _, v := range d.all() {
 		v.startProcess()
 	}
 	for _, v := range d.agents {
@@ -134,6 +153,27 @@
 	return d
 }
 
+// all returns balancers and agents.
+func (d *deployment) all() []*vm {
+	return append(d.balancers[:len(d.balancers):len(d.balancers)], d.agents...)
+}
+
+// addToWire makes VMs known to the others by the wire, if there is one.
+func (d *deployment) addToWire(list []*vm, port uint16) {
+	d.t.Helper()
+	if d.wire == nil {
+		return
+	}
+	for _, v := range list {
+		known := d.net.Addr(wireNet, len(d.known))
+		d.known = append(d.known, known)
+		if err := d.wire.Add(netip.AddrPortFrom(v.addr, port), known); err != nil {
+			d.t.Fatal(err)
+		}
+		v.door.Translate = func(value []byte) []byte { return d.wire.Translate(v.addr, value) }
+	}
+}
+
 func (d *deployment) newVM(program string, addr netip.Addr, service string) *vm {
 	return &vm{d: d, program: program, addr: addr, service: service, door: d.store.NewDoor(), maxAgeS: 60}
 }
@@ -153,12 +193,13 @@
 	v.env = map[string]string{"HEMLOCKSCALE_NODE_FILE": v.file}
 	prefix := strings.ToUpper(strings.ReplaceAll(v.program, "-", "_"))
 	v.env[prefix+"_PLATFORM"] = "true"
+	v.env[prefix+"_ADMIN"] = v.admin()
 }
 
 // storeAddr is where the process reaches the store.
 func (v *vm) storeAddr() netip.AddrPort {
-	if v.d.storeAddr.IsValid() {
-		return v.d.storeAddr
+	if v.proxy.IsValid() {
+		return v.proxy
 	}
 	return v.door.Addr()
 }
--- a/test/packets/soak_test.go
+++ b/test/packets/soak_test.go
@@ -71,11 +71,18 @@
 // soaker injects faults into one deployment.
 type soaker struct {
 	*deployment
-	rng   *rand.Rand
-	proxy *toxiproxy.Proxy // before the store
-	open  map[*vm]bool     // VMs in the middle of a fault
-	mu    sync.Mutex
-	wg    sync.WaitGroup
+	rng     *rand.Rand
+	proxies map[*vm]*toxiproxy.Proxy // between a VM and the store
+	open    map[*vm]bool             // VMs in the middle of a fault
+	wires   map[*vm]wireTrouble
+	mu      sync.Mutex
+	wg      sync.WaitGroup
+}
+
+// wireTrouble is what is wrong on the way to a VM, and from it if both is set.
+type wireTrouble struct {
+	platform.WireFault
+	both bool
 }
 
 func soak(t *testing.T, seed uint64) {
@@ -83,9 +90,13 @@
 	for i := range services {
 		services[i] = [...]string{"listing", "records"}[i%2]
 	}
-	d := start(t, *soakEntry, services...)
-	s := &soaker{deployment: d, rng: rand.New(rand.NewPCG(seed, 1)), open: map[*vm]bool{}}
+	d := startWired(t, seed, *soakEntry, services...)
+	s := &soaker{
+		deployment: d, rng: rand.New(rand.NewPCG(seed, 1)),
+		proxies: map[*vm]*toxiproxy.Proxy{}, open: map[*vm]bool{}, wires: map[*vm]wireTrouble{},
+	}
 	s.proxyStore()
+	d.wire.SetFault(s.wireFault)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var served, lost atomic.Int64
@@ -138,17 +149,18 @@
 	}
 }
 
-// proxyStore puts a fault-injecting proxy before the store for processes that
-// start from now on.
+// proxyStore puts a fault-injecting proxy between each process and the store, and
+// starts the processes anew.
 func (s *soaker) proxyStore() {
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
-	s.proxy = toxiproxy.NewProxy(server, "store", "127.0.0.1:0", s.store.Addr().String())
-	if err := s.proxy.Start(); err != nil {
-		s.t.Fatal(err)
-	}
-	s.t.Cleanup(s.proxy.Stop)
-	s.storeAddr = netip.MustParseAddrPort(s.proxy.Listen)
-	for _, v := range append(s.balancers[:len(s.balancers):len(s.balancers)], s.agents...) {
+	for _, v := range s.all() {
+		p := toxiproxy.NewProxy(server, "store of "+v.addr.String(), "127.0.0.1:0", v.door.Addr().String())
+		if err := p.Start(); err != nil {
+			s.t.Fatal(err)
+		}
+		s.t.Cleanup(p.Stop)
+		s.proxies[v] = p
+		v.proxy = netip.MustParseAddrPort(p.Listen)
 		v.process.Kill()
 		v.startProcess()
 	}
@@ -160,7 +172,8 @@
 	actions := []func(){
 		s.killBalancer, s.rollBalancer, s.freezeBalancer, s.hangup,
 		s.killAgent, s.freezeAgent, s.crashServer, s.replaceServer,
-		s.storeFault, s.linkFault, s.takeKeys, s.changeConfig, s.compact,
+		s.storeFault, s.storeTurnsAway, s.linkFault, s.takeKeys, s.changeConfig, s.compact,
+		s.badWire, s.cutWire,
 	}
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		actions[s.rng.IntN(len(actions))]()
@@ -219,7 +232,7 @@
 }
 
 func (s *soaker) hangup() {
-	v := append(s.balancers[:len(s.balancers):len(s.balancers)], s.agents...)[s.rng.IntN(len(s.balancers)+len(s.agents))]
+	v := s.all()[s.rng.IntN(len(s.balancers)+len(s.agents))]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.open[v] {
@@ -297,7 +310,62 @@
 	})
 }
 
-// linkFault silences, delays or resets the connections to the store.
+// storeTurnsAway has the store serve all processes but one.
+func (s *soaker) storeTurnsAway() {
+	f := []platform.Fault{{Refuse: http.StatusServiceUnavailable}, {Hang: true}, {Deaf: true}}[s.rng.IntN(3)]
+	d := s.pause(500*time.Millisecond, 3*time.Second)
+	v := s.all()[s.rng.IntN(len(s.proxies))]
+	v.door.SetFault(f)
+	s.wg.Go(func() {
+		time.Sleep(d)
+		v.door.SetFault(platform.Fault{})
+	})
+}
+
+// wireFault is what is wrong between two VMs.
+func (s *soaker) wireFault(from, to netip.Addr) platform.WireFault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for v, f := range s.wires {
+		if v.addr == to || f.both && v.addr == from {
+			return f.WireFault
+		}
+	}
+	return platform.WireFault{}
+}
+
+// badWire loses, doubles and delays what one VM is sent.
+func (s *soaker) badWire() {
+	f := []platform.WireFault{
+		{Loss: 0.1}, {Duplicate: 0.5}, {Jitter: 40 * time.Millisecond}, {Delay: 60 * time.Millisecond, Loss: 0.02},
+	}[s.rng.IntN(4)]
+	s.disturb(s.pause(300*time.Millisecond, 2*time.Second), wireTrouble{WireFault: f})
+}
+
+// cutWire cuts a VM off from all others, or only from what they send to it.
+func (s *soaker) cutWire() {
+	f := wireTrouble{WireFault: platform.WireFault{Cut: true}, both: s.rng.IntN(2) == 0}
+	s.disturb(s.pause(200*time.Millisecond, 2500*time.Millisecond), f)
+}
+
+// disturb puts a fault on the way to a VM for a while.
+func (s *soaker) disturb(d time.Duration, f wireTrouble) {
+	v := s.all()[s.rng.IntN(len(s.proxies))]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, there := s.wires[v]; there {
+		return
+	}
+	s.wires[v] = f
+	s.wg.Go(func() {
+		time.Sleep(d)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.wires, v)
+	})
+}
+
+// linkFault silences, delays or resets a process's connections to the store.
 func (s *soaker) linkFault() {
 	name := fmt.Sprint("fault", s.rng.Uint64())
 	stream := [...]string{"upstream", "downstream"}[s.rng.IntN(2)]
@@ -307,12 +375,13 @@
 		`{"name":%q,"type":"reset_peer","stream":%q,"attributes":{"timeout":10}}`,
 	}[s.rng.IntN(3)]
 	d := s.pause(200*time.Millisecond, 1500*time.Millisecond)
-	if _, err := s.proxy.Toxics.AddToxicJson(strings.NewReader(fmt.Sprintf(toxic, name, stream))); err != nil {
+	v := s.all()[s.rng.IntN(len(s.proxies))]
+	if _, err := s.proxies[v].Toxics.AddToxicJson(strings.NewReader(fmt.Sprintf(toxic, name, stream))); err != nil {
 		s.t.Fatal(err)
 	}
 	s.wg.Go(func() {
 		time.Sleep(d)
-		if err := s.proxy.Toxics.RemoveToxic(context.Background(), name); err != nil {
+		if err := s.proxies[v].Toxics.RemoveToxic(context.Background(), name); err != nil {
 			s.t.Error(err)
 		}
 	})
@@ -338,7 +407,7 @@
 // signal met before it could handle one has ended, and is started again as the
 // platform does.
 func (s *soaker) heal() {
-	for _, v := range append(s.balancers[:len(s.balancers):len(s.balancers)], s.agents...) {
+	for _, v := range s.all() {
 		if v.process.Ended() {
 			v.startProcess()
 		}
