What a balancer receives in reports does not grow with the number of agents

Cause: every agent reported to every balancer four times a second: 222 agents sent a balancer 73 KB/s, above the 8 KB/s for control. A balancer now asks for the interval: 75 reports a second from all agents together, each at least every 1.9 s; greetings half as often. Changes of state are told at once as before, answers carry the load. Ruled out: skipping reports to balancers that were just answered (a pair of balancer and agent exchanges 1.3 offers a second at 82 machines; saves a third at most).

--- a/flow/director_config.go
+++ b/flow/director_config.go
@@ -33,8 +33,8 @@
 	// DefaultOpenTimeout is ten times the longest exchange between zones, and a
 	// quarter of the time after which a caller repeats its first packet.
 	DefaultOpenTimeout = 50 * time.Millisecond
-	// DefaultAgentSilence is three reports.
-	DefaultAgentSilence = 3 * ReportEvery
+	// DefaultAgentSilence is three reports at their least interval.
+	DefaultAgentSilence = silentReports * ReportEvery
 	// DefaultAgentForget is above the time in which a killed agent is back.
 	DefaultAgentForget = 6 * time.Second
 	// DefaultSureAfter is more than two reports: agents know a balancer that
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -498,3 +498,58 @@
 		t.Errorf("%d resets", len(w.resets))
 	}
 }
+
+// Symptom: a small VM's balancer spends its processor and its network on reports.
+// Sequence: the fleet grows; every agent reports to every balancer four times a
+// second.
+// Cause: the time between reports did not depend on how many agents report.
+func TestReportsReceivedDoNotGrowWithAgents(t *testing.T) {
+	for _, c := range []struct {
+		agents int
+		every  time.Duration
+	}{{11, ReportEvery}, {59, 786 * time.Millisecond}, {120, 1600 * time.Millisecond}, {1000, maxReportEvery}} {
+		now := time.Unix(1000, 0)
+		d := NewDirector(now, DirectorConfig{Zone: "a"}, nil)
+		for i := range c.agents {
+			d.Introduce(now, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 7700), listing, "a")
+		}
+		d.Tick(now)
+		hello := d.Effects()[0].Message
+		if hello.Kind != Hello || hello.Wait.Truncate(time.Millisecond) != c.every {
+			t.Errorf("%d agents are asked to report every %v, want %v", c.agents, hello.Wait, c.every)
+		}
+	}
+}
+
+// The other half: an agent reports as often as it is asked to, and a change of its
+// server's state at once.
+func TestAgentReportsAsAsked(t *testing.T) {
+	w := newWorld(t, 1)
+	g := w.gate(0)
+	for _, every := range []time.Duration{ReportEvery, time.Second} {
+		g.FromBalancer(w.now, balancerA, &Message{Kind: Hello, Wait: every}, nil, nil)
+		g.Effects()
+		reports := 0
+		for range 100 {
+			w.now = w.now.Add(50 * time.Millisecond)
+			g.Heartbeat(w.now, Heartbeat{Instance: w.server(0).instance, Sequence: g.server.sequence + 1, Service: listing, Slots: 5})
+			g.Tick(w.now)
+			for _, e := range g.Effects() {
+				if e.To == balancerA && e.Message.Kind == Report {
+					reports++
+				}
+			}
+		}
+		if want := int(5 * time.Second / every); reports < want-1 || reports > want+1 {
+			t.Errorf("%d reports in 5 s at one every %v", reports, every)
+		}
+	}
+	g.Heartbeat(w.now, Heartbeat{Instance: w.server(0).instance, Sequence: g.server.sequence + 1, Service: listing, Slots: 5, Draining: true})
+	told := false
+	for _, e := range g.Effects() {
+		told = told || e.To == balancerA && e.Message.Kind == Report && e.Message.State == ServerDraining
+	}
+	if !told {
+		t.Error("a drain is not told at once")
+	}
+}
--- a/flow/gate.go
+++ b/flow/gate.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// subscription is how long an agent goes on reporting to a balancer that
-	// it has not heard from.
-	subscription = 8 * time.Second
+	// subscription is how long an agent goes on reporting to a balancer that it
+	// has not heard from: four greetings at their longest interval, and above the
+	// time in which a killed balancer is back.
+	subscription = 15 * time.Second
 	// maxBalancers bounds the balancers reported to.
 	maxBalancers = 256
 	// ackSlack is how far beyond what the server was seen to send a caller may
@@ -122,7 +123,7 @@
 	waiting   fifo[waiting]
 	answered  fifo[waiting] // flows that callers have not confirmed
 	queue     []queued
-	balancers map[netip.AddrPort]time.Time // when heard last
+	balancers map[netip.AddrPort]*subscriber
 	reportAt  time.Time
 	tickAt    time.Time
 	sweptAt   time.Time
@@ -145,7 +146,7 @@
 		started:   now,
 		server:    server{service: cfg.Service, slots: DefaultSlots},
 		flows:     make(map[Key]*held),
-		balancers: make(map[netip.AddrPort]time.Time),
+		balancers: make(map[netip.AddrPort]*subscriber),
 		tickAt:    now,
 		sweptAt:   now,
 		reportAt:  now,
@@ -175,8 +176,9 @@
 	if at := readAt(now, m.ReadAge); at.After(g.readAt) {
 		g.readAt = at
 	}
-	g.subscribe(now, from)
+	b := g.subscribe(now, from)
 	if m.Kind == Hello {
+		b.every = max(m.Wait, ReportEvery)
 		g.reply(now, from, Message{Kind: Report}, nil)
 		if m.Reason == ReasonState {
 			g.tellBalancers(now, from)
@@ -194,11 +196,25 @@
 	}
 }
 
-func (g *Gate) subscribe(now time.Time, from netip.AddrPort) {
-	if _, known := g.balancers[from]; !known && len(g.balancers) >= maxBalancers {
-		return
+// subscriber is a balancer that an agent reports to.
+type subscriber struct {
+	heard    time.Time
+	every    time.Duration // between two reports, as the balancer wishes
+	reportAt time.Time     // when the next one is due
+}
+
+// subscribe notes that a balancer was heard.
+func (g *Gate) subscribe(now time.Time, from netip.AddrPort) *subscriber {
+	b := g.balancers[from]
+	if b == nil {
+		b = &subscriber{every: ReportEvery}
+		if len(g.balancers) >= maxBalancers {
+			return b // answered, and not reported to
+		}
+		g.balancers[from] = b
 	}
-	g.balancers[from] = now
+	b.heard = now
+	return b
 }
 
 // Introduce makes a balancer known that others told of.
@@ -220,11 +236,19 @@
 	m.Occupancy = g.occupancy(now)
 	if m.Kind == Report {
 		m.Zone = ZoneID(g.cfg.Zone)
-		m.Heard = now.Sub(g.balancers[to])
+		m.Heard = g.silenceOf(now, to)
 	}
 	g.out = append(g.out, Effect{Kind: SendMessage, To: to, Message: m, Packet: packet})
 }
 
+// silenceOf returns the time since a balancer was heard.
+func (g *Gate) silenceOf(now time.Time, balancer netip.AddrPort) time.Duration {
+	if b := g.balancers[balancer]; b != nil {
+		return now.Sub(b.heard)
+	}
+	return 0
+}
+
 func (g *Gate) toServer(packet []byte) {
 	g.stats.ToServer++
 	g.out = append(g.out, Effect{Kind: SendServer, Packet: packet})
--- a/flow/held.go
+++ b/flow/held.go
@@ -252,7 +252,7 @@
 	g.expireAnswered(now)
 	g.dequeue(now)
 	if !now.Before(g.reportAt) {
-		g.report(now)
+		g.report(now, false)
 	}
 	if now.Sub(g.sweptAt) >= sweepEvery {
 		g.sweep(now)
@@ -326,8 +326,8 @@
 			g.forget(key)
 		}
 	}
-	for addr, at := range g.balancers {
-		if now.Sub(at) >= subscription {
+	for addr, b := range g.balancers {
+		if now.Sub(b.heard) >= subscription {
 			delete(g.balancers, addr)
 		}
 	}
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -8,8 +8,32 @@
 	"github.com/hemlockscale/hemlockscale/placement"
 )
 
-// ReportEvery is the time between two reports of an agent to a balancer.
-const ReportEvery = 250 * time.Millisecond
+const (
+	// ReportEvery is the least time between two reports of an agent to a
+	// balancer.
+	ReportEvery = 250 * time.Millisecond
+	// maxReportEvery is the longest: three of them pass before an agent that says
+	// nothing counts as silent, and it must not be forgotten before.
+	maxReportEvery = 1900 * time.Millisecond
+	// reportsPerSecond is what a balancer lets agents report to it: 82 bytes each
+	// with their headers, 6 KB/s of the 8 that control may take.
+	reportsPerSecond = 75
+	// reportsPerHello is the number of reports to one greeting, whose bytes count
+	// as well.
+	reportsPerHello = 2
+	// silentReports is the number of reports that have to be missing before an
+	// agent counts as silent.
+	silentReports = 3
+)
+
+// reportEvery is the time between two reports that the balancer asks agents for,
+// so that what it receives does not grow with their number. New flows don't wait
+// for it: an agent that does not answer an offer is left out after OpenTimeout, a
+// change of its server's state is told at once, and every answer tells its load.
+func (d *Director) reportEvery() time.Duration {
+	every := time.Duration(len(d.agents)) * time.Second / reportsPerSecond
+	return min(max(every, ReportEvery), maxReportEvery)
+}
 
 // hashAddr returns a hash of an address.
 func hashAddr(a netip.AddrPort) uint64 {
@@ -187,8 +211,8 @@
 // attend greets an agent when that is due, and judges its silence.
 func (d *Director) attend(now time.Time, a *agent) {
 	if !now.Before(a.helloAt) {
-		a.helloAt = now.Add(HelloEvery)
-		hello := Message{Kind: Hello}
+		a.helloAt = now.Add(max(HelloEvery, reportsPerHello*d.reportEvery()))
+		hello := Message{Kind: Hello, Wait: d.reportEvery()}
 		if !d.rosterKnown && now.Sub(d.started) < aloneAfter {
 			hello.Reason = ReasonState
 		}
@@ -203,7 +227,7 @@
 		d.missing[a.addr] = now
 		return
 	}
-	if silence >= d.cfg.AgentSilence {
+	if silence >= max(d.cfg.AgentSilence, silentReports*d.reportEvery()) {
 		d.setSilent(now, a.addr)
 	}
 }
--- a/flow/server.go
+++ b/flow/server.go
@@ -176,12 +176,18 @@
 		return
 	}
 	g.trace.State(now, before, after, why)
-	g.report(now)
+	g.report(now, true)
 }
 
-func (g *Gate) report(now time.Time) {
+// report reports to the balancers for which that is due, or to all.
+func (g *Gate) report(now time.Time, all bool) {
 	g.reportAt = now.Add(ReportEvery)
-	for to := range g.balancers {
+	for to, b := range g.balancers {
+		if !all && now.Before(b.reportAt) {
+			continue
+		}
+		// Half a tick early rather than one tick late.
+		b.reportAt = now.Add(b.every - ReportEvery/2)
 		g.reply(now, to, Message{Kind: Report}, nil)
 	}
 }
