An agent that held no flow and vanished holds no reset up

Cause: no flow is reset while an agent that may hold it is lost from sight; a VM that was taken away after its server had ended blocked every reset for 6 s until it was forgotten and for a minute after. An agent now says in its reports that its server holds no flow and gets none, and what it says is dropped if another balancer hears it while this one does not. Ruled out: leaving out agents by their place in the flow's order (not certain).

--- a/flow/director.go
+++ b/flow/director.go
@@ -70,6 +70,7 @@
 	vouched     bool      // introduced by a balancer that had heard it
 	heard       time.Time // zero: introduced, never heard
 	silent      bool      // left out of new flows until it answers again
+	empty       bool      // its server held no flow and got none when it was heard last
 	silentAt    time.Time // when it was left out
 	helloAt     time.Time // when it is greeted next
 }
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -553,3 +553,55 @@
 		t.Error("a drain is not told at once")
 	}
 }
+
+// Symptom: callers of flows that ended with their server wait for their deadlines
+// for a minute after some VM was taken away.
+// Sequence: the server of an agent is gone and its agent says so; then the VM
+// vanishes without a word. Flows come by that nobody holds.
+// Cause: no flow is reset while an agent that may hold it has fallen silent, also
+// if it held none.
+func TestEmptyAgentThatVanishesHoldsNothingUp(t *testing.T) {
+	w := newWorld(t, 3)
+	w.restartAgent(2)
+	w.gate(2).Checked(w.now, Check{Absent: true})
+	w.pass(time.Second)
+	w.cut = func(from, to netip.AddrPort) bool { return from == agentAddr(2) || to == agentAddr(2) }
+	for i, silence := range []time.Duration{DefaultAgentSilence, DefaultAgentForget, time.Second} {
+		w.pass(silence)
+		w.caller(uint16(100+i), listingPort).send(balancerA, Segment{Seq: 5, Ack: 77, HasAck: true, Data: 10})
+		w.pass(100 * time.Millisecond)
+		if len(w.resets) != i+1 {
+			t.Fatalf("%d of %d lost flows reset", len(w.resets), i+1)
+		}
+	}
+}
+
+// Symptom: an open flow is reset while its server holds it.
+// Sequence: an agent whose server held nothing is cut off from one balancer; its
+// server gets ready and takes a flow through another one. The flow comes by the
+// balancer that does not hear the agent.
+// Cause: what an agent said before a cut passes for what holds now.
+func TestEmptyAgentBehindCutMayHoldFlowsNow(t *testing.T) {
+	w := newWorld(t, 1)
+	w.balancers[balancerA].IntroduceBalancer(balancerB)
+	w.balancers[balancerB].IntroduceBalancer(balancerA)
+	w.addAgent(1, records)
+	g := w.restartAgent(1)
+	g.Checked(w.now, Check{Absent: true})
+	w.pass(time.Second)
+	w.cut = func(from, to netip.AddrPort) bool {
+		return from == agentAddr(1) && to == balancerB || from == balancerB && to == agentAddr(1)
+	}
+	w.pass(DefaultAgentSilence + ReportEvery)
+	g.Heartbeat(w.now, Heartbeat{Instance: "i-new", Sequence: 1, Service: records, Slots: 5})
+	w.server(1).instance, w.server(1).sequence = "i-new", 1
+	w.settle()
+	c := w.caller(1, recordsPort)
+	c.open(balancerA, 0)
+	c.request(balancerA)
+	c.request(balancerB)
+	w.pass(time.Second)
+	if len(w.resets) > 0 {
+		t.Error("reset while the server holds the flow")
+	}
+}
--- a/flow/find.go
+++ b/flow/find.go
@@ -256,10 +256,14 @@
 	}
 }
 
-// ghost reports whether an agent was introduced and never heard since, long
+// ghost reports whether an agent need not answer: it has fallen silent, and its
+// server held no flow before; or it was introduced and never heard since, long
 // enough for it to have answered: a key of the store outlives its process. One
 // that another balancer has heard may stand still for a while.
 func (d *Director) ghost(now time.Time, a *agent) bool {
+	if a.silent && a.empty {
+		return true
+	}
 	limit := ghostAfter
 	if a.vouched {
 		limit = d.cfg.AgentForget
--- a/flow/gate.go
+++ b/flow/gate.go
@@ -235,12 +235,28 @@
 	m.Service = g.server.service
 	m.Occupancy = g.occupancy(now)
 	if m.Kind == Report {
+		if g.empty(now) {
+			m.Reason = ReasonNotHeld
+		}
 		m.Zone = ZoneID(g.cfg.Zone)
 		m.Heard = g.silenceOf(now, to)
 	}
 	g.out = append(g.out, Effect{Kind: SendMessage, To: to, Message: m, Packet: packet})
 }
 
+// empty reports whether the server holds no flow and gets none as things stand.
+func (g *Gate) empty(now time.Time) bool {
+	if g.State(now) == ServerReady || !g.sure(now) {
+		return false
+	}
+	for _, f := range g.flows {
+		if f.state != gateLost {
+			return false
+		}
+	}
+	return true
+}
+
 // silenceOf returns the time since a balancer was heard.
 func (g *Gate) silenceOf(now time.Time, balancer netip.AddrPort) time.Duration {
 	if b := g.balancers[balancer]; b != nil {
--- a/flow/message.go
+++ b/flow/message.go
@@ -66,7 +66,7 @@
 // depends on Kind; Revision does in all of them.
 type Message struct {
 	Kind        MessageKind
-	Reason      Reason              // Refused, NotHeld; ReasonState in Hello, Roster: the sender has just started
+	Reason      Reason              // Refused, NotHeld; ReasonState in Hello, Roster: the sender has just started; ReasonNotHeld in Report: the server holds no flow and gets none
 	State       ServerState         // sent by agents
 	Priority    uint8               // Open: of the route, 0 is the most urgent; Roster: messages of it that follow
 	OnTime      time.Duration       // Open: how long it may wait and still be answered in time
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -96,6 +96,7 @@
 	a.heard = now
 	d.heardAny = true
 	a.silent = a.silent && !a.answers(now, m)
+	a.empty = m.State != ServerReady && (a.empty || m.Kind == Report && m.Reason == ReasonNotHeld)
 	a.service, a.state, a.incarnation = m.Service, m.State, m.Incarnation
 	if m.Kind == Report {
 		a.local = m.Zone == ZoneID(d.cfg.Zone)
@@ -224,7 +225,9 @@
 	silence := now.Sub(a.heard)
 	if silence >= d.cfg.AgentForget {
 		d.removeAgent(now, a, "forgotten")
-		d.missing[a.addr] = now
+		if !a.empty {
+			d.missing[a.addr] = now
+		}
 		return
 	}
 	if silence >= max(d.cfg.AgentSilence, silentReports*d.reportEvery()) {
--- a/flow/roster.go
+++ b/flow/roster.go
@@ -11,11 +11,11 @@
 
 const (
 	// rosterEntry is the length of one agent in a roster, in bytes: address,
-	// port and service.
-	rosterEntry = 14
+	// port, service, and whether the teller hears it.
+	rosterEntry = 15
 	// rosterPart is the number of agents in one message, so that it stays below
 	// the smallest MTU in use.
-	rosterPart = 80
+	rosterPart = 75
 	// askRosterEvery is the time between two questions for a roster, askRosters
 	// the number of balancers asked at once.
 	askRosterEvery = 100 * time.Millisecond
@@ -142,7 +142,11 @@
 	ip := a.addr.Addr().As4()
 	b = append(b, ip[:]...)
 	b = binary.LittleEndian.AppendUint16(b, a.addr.Port())
-	return binary.LittleEndian.AppendUint64(b, uint64(a.service))
+	b = binary.LittleEndian.AppendUint64(b, uint64(a.service))
+	if a.silent {
+		return append(b, 0)
+	}
+	return append(b, 1)
 }
 
 // announce tells the other balancers of an agent that was heard for the first
@@ -160,6 +164,11 @@
 	for ; len(roster) >= rosterEntry; roster = roster[rosterEntry:] {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte(roster[:4])), binary.LittleEndian.Uint16(roster[4:]))
 		d.Introduce(now, addr, ServiceID(binary.LittleEndian.Uint64(roster[6:])), "")
-		d.agents[addr].vouched = true
+		a := d.agents[addr]
+		a.vouched = true
+		if roster[rosterEntry-1] == 1 {
+			// What it said here last may be old: others hear it.
+			a.empty = a.empty && !a.silent
+		}
 	}
 }
