--- /dev/null
+++ b/flow/find_test.go
@@ -0,0 +1,281 @@
+package flow
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// Symptom: a flow that lives is reset.
+// Sequence: a balancer that does not know a flow asks for it while one agent
+// can't be reached, or right after its own start, when it does not know all
+// agents.
+// Cause: "nobody of those who answered holds it" is not "nobody holds it".
+func TestResetOnlyWhenAllHaveAnswered(t *testing.T) {
+	w := newWorld(t, 3)
+	c := w.caller(1000, listingPort)
+	c.open(balancerA, 0)
+	c.request(balancerA)
+	home := agentAddr(c.holders()[0])
+	w.cut = func(from, to netip.AddrPort) bool { return from == home || to == home }
+	for range 5 {
+		w.now = w.now.Add(2 * retransmission)
+		c.request(balancerB)
+	}
+	if len(w.resets) > 0 {
+		t.Fatal("flow reset while its agent could not be asked")
+	}
+	w.cut = nil
+	d := NewDirector(w.now, DirectorConfig{}, nil)
+	d.SetRoutes(testRoutes(1))
+	w.balancers[balancerB] = d
+	d.Introduce(w.now, agentAddr((c.holders()[0]+1)%3), listing, "a")
+	c.request(balancerB)
+	if len(w.resets) > 0 {
+		t.Fatal("flow reset by a balancer that had just started")
+	}
+}
+
+// Symptom: a caller waits for its deadline on a flow that has ended.
+// Sequence: its server crashed, and was started anew; the flow is nowhere.
+// Cause: nobody tells the caller.
+func TestLostFlowIsReset(t *testing.T) {
+	w := newWorld(t, 2)
+	c := w.caller(1000, listingPort)
+	c.open(balancerA, 0)
+	c.request(balancerA)
+	n := c.holders()[0]
+	w.server(n).instance = "i-new"
+	w.server(n).flows = map[Key]*serverFlow{}
+	w.beat(n, 1, false)
+	c.request(balancerA)
+	if len(w.resets) != 1 {
+		t.Fatalf("%d resets by the balancer that knew the flow", len(w.resets))
+	}
+	a, _ := c.answer()
+	if got := w.resets[0].ResetSeq; got != a.Seq+1 {
+		t.Fatalf("reset at %d; the caller acknowledged %d", got, a.Seq+1)
+	}
+	c.request(balancerB)
+	if len(w.resets) != 2 {
+		t.Fatalf("%d resets with the balancer that did not know it", len(w.resets))
+	}
+}
+
+// Symptom: a small balancer's processor is used up, and all its flows are late.
+// Sequence: routers hand it a download that it does not know; each of the
+// caller's packets is sent to every agent of the service until the first answer
+// comes.
+// Cause: each packet of a flow that was being looked for was a search.
+func TestSoughtFlowIsSoughtOnce(t *testing.T) {
+	w := newWorld(t, 3)
+	c := w.caller(1000, listingPort)
+	c.open(balancerA, 0)
+	a, _ := c.answer()
+	d := w.balancers[balancerB]
+	var asked, passed int
+	count := func() {
+		for _, e := range clone(d.Effects()) {
+			switch e.Message.Kind {
+			case Seek:
+				asked++
+			case Pass:
+				passed++
+			}
+			w.carry(balancerB, e)
+		}
+	}
+	for i := range 4 {
+		s := Segment{Key: c.key, Seq: c.seq + 1 + uint32(i)*50, Ack: a.Seq + 1, HasAck: true, Data: 50}
+		d.FromCaller(w.now, s, w.packet(s))
+		count()
+	}
+	if asked != 3 {
+		t.Fatalf("%d questions for one flow at 3 agents", asked)
+	}
+	n := c.holders()[0]
+	for _, e := range clone(w.gate(n).Effects()) {
+		w.carryFromAgent(agentAddr(n), w.agents[agentAddr(n)], e)
+	}
+	count()
+	if passed != 3 {
+		t.Fatalf("%d packets were kept and passed on, want 3", passed)
+	}
+}
+
+// Symptom: a flow is reset although its server holds it.
+// Sequence: a cut keeps an agent from the balancers for longer than they remember
+// a silent one, and heals; a packet of its flow comes before its next report.
+// Cause: an agent that had been lost from sight counted as gone with its flows.
+func TestAgentBehindCutKeepsItsFlows(t *testing.T) {
+	w := newWorld(t, 3)
+	c := w.caller(1000, listingPort)
+	c.open(balancerA, 0)
+	c.request(balancerA)
+	home := agentAddr(c.holders()[0])
+	w.cut = func(from, to netip.AddrPort) bool { return from == home || to == home }
+	w.pass(DefaultAgentForget + time.Second)
+	w.cut = nil
+	c.request(balancerA)
+	c.request(balancerB)
+	if len(w.resets) > 0 {
+		t.Fatalf("%d resets after the cut", len(w.resets))
+	}
+	w.pass(time.Second)
+	served := c.served()
+	c.request(balancerA)
+	if c.served() == served {
+		t.Fatal("the flow is not found after the cut")
+	}
+}
+
+// Symptom: an open flow is reset while its server holds it.
+// Sequence: an agent starts and becomes known to one balancer; what that one tells
+// the others of it gets lost. A flow is opened at the agent, and then comes by one
+// of the other balancers.
+// Cause: a balancer that once knew all agents takes those that it knows now for
+// all.
+func TestAgentThatOthersKnowIsAsked(t *testing.T) {
+	w := newWorld(t, 2)
+	w.balancers[balancerA].IntroduceBalancer(balancerB)
+	w.balancers[balancerB].IntroduceBalancer(balancerA)
+	w.pass(time.Second)
+	w.addAgent(2, records)
+	delete(w.balancers[balancerB].agents, agentAddr(2))
+	delete(w.gate(2).balancers, balancerB)
+	w.balancers[balancerB].retable(records)
+	c := w.caller(1, recordsPort)
+	c.open(balancerA, 0)
+	c.request(balancerB)
+	if len(w.resets) > 0 || c.served() != 1 {
+		t.Errorf("%d resets, served %d times", len(w.resets), c.served())
+	}
+}
+
+// Symptom: callers of flows that ended with their server wait for their deadlines.
+// Sequence: the other balancers are gone; a flow comes by that nobody holds.
+// Cause: a balancer waits for others to confirm that it knows all agents.
+func TestLostFlowIsResetWithoutOtherBalancers(t *testing.T) {
+	w := newWorld(t, 2)
+	w.balancers[balancerA].IntroduceBalancer(balancerB)
+	w.pass(5 * time.Second)
+	delete(w.balancers, balancerB)
+	c := w.caller(1, listingPort)
+	c.send(balancerA, Segment{Seq: 5, Ack: 77, HasAck: true, Data: 10})
+	if len(w.resets) > 0 {
+		t.Error("reset before others had the time to answer")
+	}
+	w.pass(maxAsked*askEvery + 100*time.Millisecond)
+	if len(w.resets) != 1 {
+		t.Errorf("%d resets", len(w.resets))
+	}
+}
+
+// Symptom: callers of flows that ended with their server wait for their deadlines
+// for a minute after some VM was taken away.
+// Sequence: the server of an agent is gone and its agent says so; then the VM
+// vanishes without a word. Flows come by that nobody holds.
+// Cause: no flow is reset while an agent that may hold it has fallen silent, also
+// if it held none.
+func TestEmptyAgentThatVanishesHoldsNothingUp(t *testing.T) {
+	w := newWorld(t, 3)
+	w.restartAgent(2)
+	w.gate(2).Checked(w.now, Check{Absent: true})
+	w.pass(time.Second)
+	w.cut = func(from, to netip.AddrPort) bool { return from == agentAddr(2) || to == agentAddr(2) }
+	for i, silence := range []time.Duration{DefaultAgentSilence, DefaultAgentForget, time.Second} {
+		w.pass(silence)
+		w.caller(uint16(100+i), listingPort).send(balancerA, Segment{Seq: 5, Ack: 77, HasAck: true, Data: 10})
+		w.pass(100 * time.Millisecond)
+		if len(w.resets) != i+1 {
+			t.Fatalf("%d of %d lost flows reset", len(w.resets), i+1)
+		}
+	}
+}
+
+// Symptom: an open flow is reset while its server holds it.
+// Sequence: an agent whose server held nothing is cut off from one balancer; its
+// server gets ready and takes a flow through another one. The flow comes by the
+// balancer that does not hear the agent.
+// Cause: what an agent said before a cut passes for what holds now.
+func TestEmptyAgentBehindCutMayHoldFlowsNow(t *testing.T) {
+	w := newWorld(t, 1)
+	w.balancers[balancerA].IntroduceBalancer(balancerB)
+	w.balancers[balancerB].IntroduceBalancer(balancerA)
+	w.addAgent(1, records)
+	g := w.restartAgent(1)
+	g.Checked(w.now, Check{Absent: true})
+	w.pass(time.Second)
+	w.cut = func(from, to netip.AddrPort) bool {
+		return from == agentAddr(1) && to == balancerB || from == balancerB && to == agentAddr(1)
+	}
+	w.pass(DefaultAgentSilence + ReportEvery)
+	g.Heartbeat(w.now, Heartbeat{Instance: "i-new", Sequence: 1, Service: records, Slots: 5})
+	w.server(1).instance, w.server(1).sequence = "i-new", 1
+	w.settle()
+	c := w.caller(1, recordsPort)
+	c.open(balancerA, 0)
+	c.request(balancerA)
+	c.request(balancerB)
+	w.pass(time.Second)
+	if len(w.resets) > 0 {
+		t.Error("reset while the server holds the flow")
+	}
+}
+
+// Symptom: for seconds after a loss of power everywhere new flows are not taken by
+// balancers on small VMs; agents whose answers come too late are left out.
+// Sequence: hundreds of callers go on with flows that ended with their servers.
+// Cause: a search for each of them at once, a message to every agent and an answer
+// from each, leaves no processor for offers.
+func TestSearchesLeaveRoomForNewFlows(t *testing.T) {
+	d, now := benchDirector(47)
+	packet := make([]byte, 100)
+	flood := func(at time.Time) (searches int) {
+		for i := range 300 {
+			d.FromCaller(at, Segment{Key: benchKey(i), Seq: 1, Ack: 2, HasAck: true, Data: 68}, packet)
+			for _, e := range d.Effects() {
+				if e.Kind == SendMessage && e.Message.Kind == Seek {
+					searches++
+				}
+			}
+		}
+		return searches / askFirst
+	}
+	if n := flood(now); n != maxSeeking {
+		t.Errorf("%d searches begun at once, want %d", n, maxSeeking)
+	}
+	if n := flood(now.Add(seekSlotTime)); n != maxSeeking {
+		t.Errorf("%d searches begun later, want %d more", n, maxSeeking)
+	}
+	if n := d.Stats().Dropped[ReasonSearches]; n == 0 {
+		t.Error("dropped packets are not counted")
+	}
+}
+
+// Symptom: an open flow that routers hand to another balancer goes nowhere.
+// Sequence: that balancer is busy with flows that nobody holds; the caller repeats
+// its packet.
+// Cause: searches that don't end keep others from beginning.
+func TestHeldFlowIsFoundAmongLostOnes(t *testing.T) {
+	w := newWorld(t, 3)
+	c := w.caller(1, listingPort)
+	c.open(balancerA, 0)
+	c.request(balancerA)
+	w.cut = func(from, _ netip.AddrPort) bool { return from == agentAddr((c.holders()[0]+1)%3) }
+	for port := range uint16(50) {
+		w.caller(30000+port, listingPort).send(balancerB, Segment{Seq: 5, Ack: 77, HasAck: true, Data: 10})
+	}
+	for range 3 {
+		c.request(balancerB)
+		w.pass(200 * time.Millisecond)
+	}
+	if c.served() < 2 {
+		t.Errorf("served %d times", c.served())
+	}
+	for _, r := range w.resets {
+		if r.Message.Key == c.key {
+			t.Error("the flow was reset")
+		}
+	}
+}
