--- a/cmd/hemlockctl/main.go
+++ b/cmd/hemlockctl/main.go
@@ -55,9 +55,9 @@
 	{"diff", "", "show what applying a file would change", fileFlags, (*cli).diff},
 	{"get", "SERVICE", "show one entry as a file that apply takes", nil, (*cli).get},
 	{"list", "", "list all entries", nil, (*cli).list},
-	{"history", "", "list the changes that the store keeps", historyFlags, (*cli).history},
+	{"history", "", "list the changes that the store keeps", hitimelineFlags, (*cli).history},
 	{"platform", "", "show what the platform's store holds and what processes believe, read-only", platformFlags, (*cli).platform},
-	{"flow", "CALLER LOG...", "tell one flow's story from the logs of several processes", storyFlags, (*cli).flow},
+	{"flow", "CALLER LOG...", "show one flow's timeline from the logs of several processes", timelineFlags, (*cli).flow},
 	{"status", "", "show the revision in force at each balancer", statusFlags, (*cli).status},
 }
 
--- a/cmd/hemlockctl/settings.go
+++ b/cmd/hemlockctl/settings.go
@@ -66,7 +66,7 @@
 	fs.StringVar(&s.edit, "edit", "", "edit ID that the unknown outcome named")
 }
 
-func historyFlags(fs *flag.FlagSet, s *settings) {
+func hitimelineFlags(fs *flag.FlagSet, s *settings) {
 	fs.StringVar(&s.service, "service", "", "only this service (default all)")
 	fs.Uint64Var(&s.after, "after", 0, "only revisions above")
 	fs.IntVar(&s.limit, "limit", 20, "newest changes to show, 0 for all")
--- a/cmd/hemlockctl/story.go
+++ b/cmd/hemlockctl/timeline.go
@@ -20,8 +20,8 @@
 // file's name.
 const maxLogLine = 1 << 20
 
-// storyFlags are the flags of flow.
-func storyFlags(fs *flag.FlagSet, s *settings) {
+// timelineFlags are the flags of flow.
+func timelineFlags(fs *flag.FlagSet, s *settings) {
 	fs.DurationVar(&s.around, "around", 0, "also show what the processes believed anew this long before the flow's first line and after its last")
 }
 
@@ -54,11 +54,11 @@
 		}
 		lines = append(lines, more...)
 	}
-	story := selectStory(lines, caller, c.around)
-	if len(story) == 0 {
+	timeline := selectTimeline(lines, caller, c.around)
+	if len(timeline) == 0 {
 		return fmt.Errorf("no line of %d speaks of a flow of %s; name more logs, or of one message only the first 100 lines a second are written, and then every 50th", len(lines), c.args[0])
 	}
-	return c.showStory(story)
+	return c.showTimeline(timeline)
 }
 
 // parseCaller takes an address, or an address with a port.
@@ -168,9 +168,9 @@
 	return string(raw)
 }
 
-// selectStory returns the lines of the flows that match, in the order of time,
+// selectTimeline returns the lines of the flows that match, in the order of time,
 // and of the others without a flow those that are at most around away.
-func selectStory(lines []logLine, match func(string) bool, around time.Duration) []logLine {
+func selectTimeline(lines []logLine, match func(string) bool, around time.Duration) []logLine {
 	slices.SortStableFunc(lines, func(a, b logLine) int { return a.At.Compare(b.At) })
 	first, last := -1, -1
 	for i := range lines {
@@ -185,23 +185,23 @@
 		return nil
 	}
 	from, to := lines[first].At.Add(-around), lines[last].At.Add(around)
-	var story []logLine
+	var timeline []logLine
 	for _, l := range lines {
 		belief := l.Flow == "" && around > 0 && !l.At.Before(from) && !l.At.After(to)
 		if match(l.Flow) || belief {
-			story = append(story, l)
+			timeline = append(timeline, l)
 		}
 	}
-	return story
+	return timeline
 }
 
-func (c *cli) showStory(story []logLine) error {
+func (c *cli) showTimeline(timeline []logLine) error {
 	if c.output == outJSON {
-		return writeJSON(c.out, story)
+		return writeJSON(c.out, timeline)
 	}
-	start := story[0].At
-	rows := make([]string, len(story))
-	for i, l := range story {
+	start := timeline[0].At
+	rows := make([]string, len(timeline))
+	for i, l := range timeline {
 		var fields []string
 		for _, name := range l.order {
 			fields = append(fields, name+"="+l.Fields[name])
--- a/cmd/hemlockctl/story_test.go
+++ b/cmd/hemlockctl/timeline_test.go
@@ -51,7 +51,7 @@
 	}
 }
 
-func TestFlowsStory(t *testing.T) {
+func TestTimelineOfAFlow(t *testing.T) {
 	got := ctlFlow(t, exitAccepted, "100.64.0.7:40001")
 	inOrder(t, got, "+0.000 s", "flow refused by agent", "reason=busy", "+0.200 s", "flow taken", "offers=2", "+0.300 s", "agent.log vm-6", "flow opened", "after=0.02")
 	if strings.Contains(got, "40001>198.18.0.1:443  server") || strings.Contains(got, ":4000>") {
@@ -59,7 +59,7 @@
 	}
 }
 
-func TestFlowsStoryWithBeliefs(t *testing.T) {
+func TestTimelineWithBeliefs(t *testing.T) {
 	got := ctlFlow(t, exitAccepted, "-around", "1s", "100.64.0.7:40001")
 	inOrder(t, got, "flow refused by agent", "state=ready", "flow taken", "flow opened")
 	if strings.Contains(got, "draining") {
@@ -67,12 +67,12 @@
 	}
 }
 
-func TestStoryOfACaller(t *testing.T) {
+func TestTimelineOfACaller(t *testing.T) {
 	got := ctlFlow(t, exitAccepted, "100.64.0.7")
 	inOrder(t, got, "offers=2", ":4000>198.18.0.1:443", "flow opened")
 }
 
-func TestStoryErrors(t *testing.T) {
+func TestTimelineErrors(t *testing.T) {
 	inOrder(t, ctlFlow(t, exitUsage, "100.64.0"), "is no caller")
 	inOrder(t, ctlFlow(t, exitRefused, "100.64.0.8"), "no line of 6 speaks of a flow of 100.64.0.8")
 }
--- a/flow/director.go
+++ b/flow/director.go
@@ -26,9 +26,9 @@
 	// askAllUpTo is the number of agents in the fleet up to which all of them
 	// are asked at once.
 	askAllUpTo = 16
-	// ghostAfter is the time after which an agent that was introduced and never
+	// absentAfter is the time after which an agent that was introduced and never
 	// heard counts as gone: above the time that a process takes to start.
-	ghostAfter = time.Second
+	absentAfter = time.Second
 	// askEvery is the time after which agents that have not answered are asked
 	// again, and maxAsked how often.
 	askEvery = 80 * time.Millisecond
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -328,7 +328,7 @@
 	if !d.Ready() {
 		t.Error("not ready at the start, when agents are about to answer")
 	}
-	d.Tick(now.Add(ghostAfter))
+	d.Tick(now.Add(absentAfter))
 	if d.Ready() {
 		t.Error("ready although no agent answers")
 	}
--- a/flow/find.go
+++ b/flow/find.go
@@ -243,7 +243,7 @@
 func (d *Director) conclude(now time.Time, k *seek) {
 	for i := range k.asked {
 		q := &k.asked[i]
-		if a := d.agents[q.agent]; !q.answered && a != nil && !d.ghost(now, a) {
+		if a := d.agents[q.agent]; !q.answered && a != nil && !d.absent(now, a) {
 			return
 		}
 	}
@@ -286,15 +286,15 @@
 	}
 }
 
-// ghost reports whether an agent need not answer: it has fallen silent, and its
+// absent reports whether an agent need not answer: it has fallen silent, and its
 // server held no flow before; or it was introduced and never heard since, long
 // enough for it to have answered: a key of the store outlives its process. One
 // that another balancer has heard may stand still for a while.
-func (d *Director) ghost(now time.Time, a *agent) bool {
+func (d *Director) absent(now time.Time, a *agent) bool {
 	if a.silent && a.empty {
 		return true
 	}
-	limit := ghostAfter
+	limit := absentAfter
 	if a.vouched {
 		limit = d.cfg.AgentForget
 	}
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -297,5 +297,5 @@
 	if d.heardAny {
 		return false
 	}
-	return len(d.agents) == 0 || d.now.Sub(d.started) < ghostAfter
+	return len(d.agents) == 0 || d.now.Sub(d.started) < absentAfter
 }
--- a/internal/standin/platform/door.go
+++ b/internal/standin/platform/endpoint.go
@@ -10,36 +10,36 @@
 	"sync/atomic"
 )
 
-// Door is one more address of the store, for some of its callers.
-type Door struct {
+// Endpoint is one more address of the store, for some of its callers.
+type Endpoint struct {
 	store *Store
 	http  *httptest.Server
 	fault Fault // guarded by store.mu; the zero fault leaves the store's own
-	// Translate, if not nil, changes the values that are read by this door. It
-	// has to be set before the door is used.
+	// Translate, if not nil, changes the values that are read by this endpoint. It
+	// has to be set before the endpoint is used.
 	Translate func(value []byte) []byte
 
 	mu    sync.Mutex
 	conns []*silentConn
 }
 
-// doorKey marks a request's context with its Door.
-type doorKey struct{}
+// endpointKey marks a request's context with its Endpoint.
+type endpointKey struct{}
 
-// doorOf returns the door that a request came by, nil for none.
-func doorOf(r *http.Request) *Door {
-	d, _ := r.Context().Value(doorKey{}).(*Door)
+// endpointOf returns the endpoint that a request came by, nil for none.
+func endpointOf(r *http.Request) *Endpoint {
+	d, _ := r.Context().Value(endpointKey{}).(*Endpoint)
 	return d
 }
 
-// Addr returns the door's address.
-func (d *Door) Addr() netip.AddrPort {
+// Addr returns the endpoint's address.
+func (d *Endpoint) Addr() netip.AddrPort {
 	return netip.MustParseAddrPort(strings.TrimPrefix(d.http.URL, "http://"))
 }
 
-// SetFault sets what is wrong for those who come by this door. Calls under way
+// SetFault sets what is wrong for those who come by this endpoint. Calls under way
 // end.
-func (d *Door) SetFault(f Fault) {
+func (d *Endpoint) SetFault(f Fault) {
 	d.store.mu.Lock()
 	defer d.store.mu.Unlock()
 	d.fault = f
@@ -48,7 +48,7 @@
 
 // Silence makes the connections that are open now go silent for good, without
 // an end; new ones work.
-func (d *Door) Silence() {
+func (d *Endpoint) Silence() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, c := range d.conns {
@@ -60,7 +60,7 @@
 // silencer accepts connections that can go silent.
 type silencer struct {
 	net.Listener
-	door *Door
+	endpoint *Endpoint
 }
 
 func (l *silencer) Accept() (net.Conn, error) {
@@ -69,9 +69,9 @@
 		return nil, err
 	}
 	s := &silentConn{Conn: c}
-	l.door.mu.Lock()
-	defer l.door.mu.Unlock()
-	l.door.conns = append(l.door.conns, s)
+	l.endpoint.mu.Lock()
+	defer l.endpoint.mu.Unlock()
+	l.endpoint.conns = append(l.endpoint.conns, s)
 	return s, nil
 }
 
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -31,8 +31,8 @@
 
 // Store is the key-value store.
 type Store struct {
-	http  *httptest.Server
-	doors []*Door
+	http      *httptest.Server
+	endpoints []*Endpoint
 
 	mu       sync.Mutex
 	revision uint64
@@ -81,18 +81,18 @@
 	return s
 }
 
-// NewDoor opens another address of the store, with faults of its own.
-func (s *Store) NewDoor() *Door {
-	d := &Door{store: s}
+// NewEndpoint opens another address of the store, with faults of its own.
+func (s *Store) NewEndpoint() *Endpoint {
+	d := &Endpoint{store: s}
 	d.http = httptest.NewUnstartedServer(s.http.Config.Handler)
-	d.http.Listener = &silencer{Listener: d.http.Listener, door: d}
+	d.http.Listener = &silencer{Listener: d.http.Listener, endpoint: d}
 	d.http.Config.BaseContext = func(net.Listener) context.Context {
-		return context.WithValue(context.Background(), doorKey{}, d)
+		return context.WithValue(context.Background(), endpointKey{}, d)
 	}
 	d.http.Start()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.doors = append(s.doors, d)
+	s.endpoints = append(s.endpoints, d)
 	return d
 }
 
@@ -107,9 +107,9 @@
 	s.http.CloseClientConnections()
 	s.http.Close()
 	s.mu.Lock()
-	doors := s.doors
+	endpoints := s.endpoints
 	s.mu.Unlock()
-	for _, d := range doors {
+	for _, d := range endpoints {
 		d.http.CloseClientConnections()
 		d.http.Close()
 	}
@@ -257,7 +257,7 @@
 }
 
 func (s *Store) faultOf(r *http.Request) Fault {
-	if d := doorOf(r); d != nil && d.fault != (Fault{}) {
+	if d := endpointOf(r); d != nil && d.fault != (Fault{}) {
 		return d.fault
 	}
 	a, err := netip.ParseAddrPort(r.RemoteAddr)
@@ -295,7 +295,7 @@
 		s.mu.Lock()
 		i := s.items[key]
 		s.mu.Unlock()
-		if d := doorOf(r); d != nil && d.Translate != nil {
+		if d := endpointOf(r); d != nil && d.Translate != nil {
 			i.Value = d.Translate(i.Value)
 		}
 		items = append(items, i)
--- a/test/packets/config_test.go
+++ b/test/packets/config_test.go
@@ -28,7 +28,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			d := start(t, 3, "listing", "listing", "records")
 			b := d.balancers[0]
-			b.door.SetFault(c.fault)
+			b.endpoint.SetFault(c.fault)
 			b.process.Kill()
 			b.startProcess()
 			d.await("the balancer has the configuration", func() bool { return b.inForce(d.revision) })
@@ -50,14 +50,14 @@
 func TestStoreReturnsWithNewerConfiguration(t *testing.T) {
 	d := start(t, 2, "listing", "listing")
 	for _, b := range d.balancers {
-		b.door.SetFault(platform.Fault{Refuse: http.StatusServiceUnavailable})
+		b.endpoint.SetFault(platform.Fault{Refuse: http.StatusServiceUnavailable})
 		b.process.Kill()
 		b.startProcess()
 	}
 	d.idle++
 	d.configure()
 	for _, b := range d.balancers {
-		b.door.SetFault(platform.Fault{})
+		b.endpoint.SetFault(platform.Fault{})
 	}
 	for _, b := range d.balancers {
 		d.await("the newest configuration is in force", func() bool { return b.inForce(d.revision) })
@@ -74,7 +74,7 @@
 func TestStoreConnectionsGoSilent(t *testing.T) {
 	d := start(t, 2, "listing", "listing")
 	for _, v := range append(d.balancers[:2:2], d.agents...) {
-		v.door.Silence()
+		v.endpoint.Silence()
 	}
 	d.store.Remove("hemlock/nodes/")
 	d.idle++
--- a/test/packets/fleet_test.go
+++ b/test/packets/fleet_test.go
@@ -64,17 +64,17 @@
 
 // vm is one VM with its process and, beside an agent, its server.
 type vm struct {
-	d       *deployment
-	program string
-	addr    netip.Addr
-	service string
-	door    *platform.Door // where the process reaches the store
-	proxy   netip.AddrPort // before the door, if there is one
-	env     map[string]string
-	file    string // the settings file
-	maxAgeS int    // bound of a flow's age in the settings, in seconds
-	process *fleet.Process
-	server  *platform.Server
+	d        *deployment
+	program  string
+	addr     netip.Addr
+	service  string
+	endpoint *platform.Endpoint // where the process reaches the store
+	proxy    netip.AddrPort     // before the endpoint, if there is one
+	env      map[string]string
+	file     string // the settings file
+	maxAgeS  int    // bound of a flow's age in the settings, in seconds
+	process  *fleet.Process
+	server   *platform.Server
 }
 
 // settings is the platform's settings file.
@@ -170,12 +170,12 @@
 		if err := d.wire.Add(netip.AddrPortFrom(v.addr, port), known); err != nil {
 			d.t.Fatal(err)
 		}
-		v.door.Translate = func(value []byte) []byte { return d.wire.Translate(v.addr, value) }
+		v.endpoint.Translate = func(value []byte) []byte { return d.wire.Translate(v.addr, value) }
 	}
 }
 
 func (d *deployment) newVM(program string, addr netip.Addr, service string) *vm {
-	return &vm{d: d, program: program, addr: addr, service: service, door: d.store.NewDoor(), maxAgeS: 60}
+	return &vm{d: d, program: program, addr: addr, service: service, endpoint: d.store.NewEndpoint(), maxAgeS: 60}
 }
 
 // writeSettings writes the settings file of a VM.
@@ -201,7 +201,7 @@
 	if v.proxy.IsValid() {
 		return v.proxy
 	}
-	return v.door.Addr()
+	return v.endpoint.Addr()
 }
 
 func (v *vm) startProcess() {
--- a/test/packets/operator_test.go
+++ b/test/packets/operator_test.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// TestOperatorFollowsFlow takes a caller's port to the story of its flow through
+// TestOperatorFollowsFlow takes a caller's port to the timeline of its flow through
 // the logs of all processes.
 func TestOperatorFollowsFlow(t *testing.T) {
 	d := start(t, 2, "listing", "listing")
--- a/test/packets/soak_test.go
+++ b/test/packets/soak_test.go
@@ -193,7 +193,7 @@
 func (s *soaker) proxyStore() {
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
 	for _, v := range s.all() {
-		p := toxiproxy.NewProxy(server, "store of "+v.addr.String(), "127.0.0.1:0", v.door.Addr().String())
+		p := toxiproxy.NewProxy(server, "store of "+v.addr.String(), "127.0.0.1:0", v.endpoint.Addr().String())
 		if err := p.Start(); err != nil {
 			s.t.Fatal(err)
 		}
@@ -356,10 +356,10 @@
 	f := []platform.Fault{{Refuse: http.StatusServiceUnavailable}, {Hang: true}, {Deaf: true}}[s.rng.IntN(3)]
 	d := s.pause(500*time.Millisecond, 3*time.Second)
 	v := s.all()[s.rng.IntN(len(s.proxies))]
-	v.door.SetFault(f)
+	v.endpoint.SetFault(f)
 	s.wg.Go(func() {
 		time.Sleep(d)
-		v.door.SetFault(platform.Fault{})
+		v.endpoint.SetFault(platform.Fault{})
 	})
 }
 
