--- a/cmd/hemlockctl/timeline.go
+++ b/cmd/hemlockctl/timeline.go
@@ -56,7 +56,7 @@
 	}
 	timeline := selectTimeline(lines, caller, c.around)
 	if len(timeline) == 0 {
-		return fmt.Errorf("no line of %d speaks of a flow of %s; name more logs, or of one message only the first 100 lines a second are written, and then every 50th", len(lines), c.args[0])
+		return fmt.Errorf("no line of %d speaks of a flow of %s; name more logs; or its lines were left out, since of each message 100 lines a second are written and then every 50th", len(lines), c.args[0])
 	}
 	return c.showTimeline(timeline)
 }
