--- a/cmd/hemlock-agent/platform.go
+++ b/cmd/hemlock-agent/platform.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"errors"
 	"time"
 
 	"github.com/hemlockscale/hemlockscale/internal/daemon"
 	"github.com/hemlockscale/hemlockscale/internal/flowagent"
 	"github.com/hemlockscale/hemlockscale/internal/process"
+	"github.com/hemlockscale/hemlockscale/internal/settings"
 	"github.com/hemlockscale/hemlockscale/platform"
 )
 
@@ -15,6 +17,10 @@
 // servePlatform passes the packet flows of the users' platform to a server.
 func servePlatform(cfg daemon.Config) error {
 	p, err := process.Open(cfg)
+	var wrong *platform.SettingsError
+	if errors.As(err, &wrong) {
+		settings.Exit(program, err)
+	}
 	if err != nil {
 		return err
 	}
--- a/test/packets/config_test.go
+++ b/test/packets/config_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/hemlockscale/hemlockscale/internal/standin/platform"
+	"github.com/hemlockscale/hemlockscale/test/fleet"
 )
 
 // Symptom: a balancer that was restarted stays out of rotation for as long as
@@ -142,3 +145,24 @@
 		})
 	}
 }
+
+// Symptom: a supervisor starts a process with wrong settings again and again, since
+// its exit code says that it failed while at work.
+// Sequence: the settings file is not named, missing, or lacks what is required.
+// Cause: only wrong flags ended a process with the code for wrong settings.
+func TestWrongSettingsFile(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "local.toml")
+	if err := os.WriteFile(bad, []byte(`ip = "nowhere"`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, program := range []string{"hemlock-balancer", "hemlock-agent"} {
+		for _, env := range []map[string]string{
+			{}, {"HEMLOCKSCALE_NODE_FILE": bad + "-not-there"}, {"HEMLOCKSCALE_NODE_FILE": bad},
+		} {
+			r := fleet.RunOnce(t, program, env, "-platform")
+			if r.Exit != 2 || strings.Count(r.Stderr, "\n") != 1 || !strings.Contains(r.Stderr, "settings file") {
+				t.Errorf("%s with %v: exit %d, %q", program, env, r.Exit, r.Stderr)
+			}
+		}
+	}
+}
