--- a/internal/flowbalancer/balancer.go
+++ b/internal/flowbalancer/balancer.go
@@ -2,8 +2,9 @@
 // flow.Director decides.
 //
 // Its duties are goroutines: one reads callers' packets, one reads messages of
-// agents, one ticks, one follows the configuration and one introduces the
-// process in the store. A mutex guards the Director; what it decides is copied
+// agents and other balancers, one ticks, one follows the configuration, one tells
+// it to other balancers, one answers the routers and one introduces the process in
+// the store. A mutex guards the Director; what it decides is copied
 // into a duty's own output before the mutex is released.
 package flowbalancer
 
