Questions for unknown flows go in rounds, paced by the VM's link

Cause: a search sent the caller's whole packet to every agent, three times, one message each. Change: a search that is alone sends its packet at once, as before. Others wait for a round, in which an agent is asked for up to 64 flows by one message of 16 bytes a flow and answers with what it holds. The next round begins when 0.3 of the link and a tenth of a core have had the time of this one. The bound of six searches goes. Test: TestSearchesLeaveRoomForNewFlows counted searches begun (6 in 100 ms). It now bounds bytes and messages by link and processor, and wants every flow asked for within the caller's first repeat, which the old code failed. The world of the tests hands on messages that are followed by no packet.

--- a/flow/director.go
+++ b/flow/director.go
@@ -33,14 +33,6 @@
 	// again, and maxAsked how often.
 	askEvery = 80 * time.Millisecond
 	maxAsked = 3
-	// maxSeeking is the number of searches for unknown flows that go on at a time,
-	// as far as they began within seekSlotTime. A search for a flow that some server
-	// holds takes one exchange, so hundreds a second find room; of those for lost
-	// flows 60 a second begin. Measured on a deployment with balancers of 0.19 of a
-	// core, after a loss of power: credit in the two worst spans of two seconds 0.51
-	// without this bound, 0.64 with it.
-	maxSeeking   = 6
-	seekSlotTime = 100 * time.Millisecond
 	// maxKept is the number of packets kept of a flow that is being looked for.
 	maxKept = 8
 	// pauseAfter is the time between two ticks that means that the process
@@ -155,6 +147,7 @@
 type question struct {
 	agent    netip.AddrPort
 	answered bool
+	waits    bool // to be sent
 }
 
 // question returns the question to an agent, nil if it was not asked.
@@ -169,9 +162,8 @@
 
 // asking is when the agents that have not answered are asked again.
 type asking struct {
-	k      *seek
-	serial uint64 // of the seek; it serves another flow by now if it differs
-	at     time.Time
+	seekRef
+	at time.Time
 }
 
 // Director is the state machine of a balancer.
@@ -195,13 +187,13 @@
 	load    *placement.Load
 	flows   map[Key]*entry
 	spare   spare
-	slots   [maxSeeking]seekSlot // searches that began lately
-	serial  uint64               // of the latest wait or seek
-	queue   fifo[due]            // flows offered, in the order of time
-	queued  fifo[due]            // flows that wait for room at an agent, in the order of time
-	asking  fifo[asking]         // flows whose agents are asked again, in the order of time
-	targets []netip.AddrPort     // scratch: agents that are asked next
-	unsure  []*seek              // flows that nobody holds, as far as is known yet
+	queries queries          // questions of searches
+	serial  uint64           // of the latest wait or seek
+	queue   fifo[due]        // flows offered, in the order of time
+	queued  fifo[due]        // flows that wait for room at an agent, in the order of time
+	asking  fifo[asking]     // flows whose agents are asked again, in the order of time
+	targets []netip.AddrPort // scratch: agents that are asked next
+	unsure  []*seek          // flows that nobody holds, as far as is known yet
 	started time.Time
 	now     time.Time // of the call being worked on
 	tickAt  time.Time // last tick
@@ -226,6 +218,7 @@
 		balancers: make(map[netip.AddrPort]struct{}),
 		load:      placement.NewLoad(0, placement.LoadOptions{}),
 		flows:     make(map[Key]*entry),
+		queries:   newQueries(cfg.Link),
 		started:   now,
 		tickAt:    now,
 		sweptAt:   now,
--- a/flow/director_config.go
+++ b/flow/director_config.go
@@ -26,6 +26,8 @@
 	MaxOpening int
 	// MaxAge is the age from which a flow may be discarded.
 	MaxAge time.Duration
+	// Link is what the VM's network link carries, in bytes a second.
+	Link float64
 }
 
 // Defaults of DirectorConfig.
@@ -45,6 +47,8 @@
 	DefaultMaxFlows = 1 << 16
 	// DefaultMaxOpening bounds the offers under way, 200 bytes each.
 	DefaultMaxOpening = 1 << 12
+	// DefaultLink is a link of 1 Gbit/s.
+	DefaultLink = 125e6
 	// DefaultMaxAge is the age that the platform lets flows reach.
 	DefaultMaxAge = time.Minute
 )
@@ -57,6 +61,7 @@
 	c.MaxFlows = cmp.Or(c.MaxFlows, DefaultMaxFlows)
 	c.MaxOpening = cmp.Or(c.MaxOpening, DefaultMaxOpening)
 	c.MaxAge = cmp.Or(c.MaxAge, DefaultMaxAge)
+	c.Link = cmp.Or(c.Link, DefaultLink)
 }
 
 // SetMaxAge changes the age that flows may reach; 0 is the default.
--- a/flow/find.go
+++ b/flow/find.go
@@ -12,11 +12,6 @@
 		d.drop(ReasonNotHeld)
 		return
 	}
-	slot := d.freeSlot(now)
-	if slot == nil {
-		d.drop(ReasonSearches)
-		return
-	}
 	e := d.remember(now, s.Key)
 	if e == nil {
 		d.drop(ReasonOverflow)
@@ -24,31 +19,6 @@
 	}
 	d.stats.Sought++
 	d.seek(now, e, s, packet, false)
-	if k := e.seek; k != nil {
-		*slot = seekSlot{k, k.serial, now}
-	}
-}
-
-// seekSlot is room for a search that has just begun.
-type seekSlot struct {
-	k      *seek
-	serial uint64 // of the search; it has ended if that of k differs
-	at     time.Time
-}
-
-// freeSlot returns room for another search, nil if too many have begun lately and
-// go on. A flow that some server holds is found within milliseconds. After a loss of
-// power hundreds of flows a second are nobody's: their searches, a message to every
-// agent and an answer from each, would take a small VM's processor from new flows,
-// whose offers then time out. The caller repeats its packet.
-func (d *Director) freeSlot(now time.Time) *seekSlot {
-	for i := range d.slots {
-		s := &d.slots[i]
-		if s.k == nil || s.k.serial != s.serial || now.Sub(s.at) >= seekSlotTime {
-			return s
-		}
-	}
-	return nil
 }
 
 // seek sends the packet to the agents that may hold the flow: those that it was
@@ -84,7 +54,7 @@
 // caller of a dead flow waiting for its deadline.
 func (d *Director) askLater(now time.Time, k *seek) {
 	if k.again < maxAsked {
-		d.asking.push(asking{k, k.serial, now.Add(askEvery)})
+		d.asking.push(asking{seekRef{k, k.serial}, now.Add(askEvery)})
 	}
 }
 
@@ -93,7 +63,7 @@
 	for d.asking.len() > 0 && !d.asking.first().at.After(now) {
 		a := d.asking.pop()
 		k := a.k
-		if e := d.flows[k.segment.Key]; e == nil || e.seek != k || k.serial != a.serial {
+		if a.ends() {
 			continue
 		}
 		k.again++
@@ -106,7 +76,7 @@
 func (d *Director) unanswering(k *seek) []netip.AddrPort {
 	list := d.targets[:0]
 	for i := range k.asked {
-		if q := &k.asked[i]; !q.answered && d.agents[q.agent] != nil {
+		if q := &k.asked[i]; !q.answered && !q.waits && d.agents[q.agent] != nil {
 			list = append(list, q.agent)
 		}
 	}
@@ -114,12 +84,28 @@
 	return list
 }
 
+// ask asks agents for a flow: with its packet if no search went before it lately,
+// so that a flow that is found loses no time, else in the next round.
 func (d *Director) ask(k *seek, targets []netip.AddrPort) {
+	if len(targets) == 0 {
+		return
+	}
+	atOnce := d.queries.idle(d.now)
 	for _, addr := range targets {
-		if k.question(addr) == nil {
+		q := k.question(addr)
+		if q == nil {
 			k.asked = append(k.asked, question{agent: addr})
+			q = &k.asked[len(k.asked)-1]
+		}
+		if atOnce {
+			d.send(addr, Message{Kind: Seek}, k.packet)
+			continue
 		}
-		d.send(addr, Message{Kind: Seek}, k.packet)
+		q.waits = true
+		d.queries.add(addr, k)
+	}
+	if atOnce {
+		d.queries.charge(d.now, len(targets), len(targets)*len(k.packet))
 	}
 }
 
@@ -185,16 +171,23 @@
 
 // onHeld takes an agent's word that it holds a flow that was looked for.
 func (d *Director) onHeld(now time.Time, from netip.AddrPort, m *Message) {
-	e := d.flows[m.Key]
-	if e == nil || e.state != entrySought {
-		return
+	if e := d.flows[m.Key]; e != nil && e.state == entrySought {
+		d.found(now, e, from, false)
 	}
+}
+
+// found ends a search. The agent gets the packets that were kept, and the one
+// that began the search if it was asked without it.
+func (d *Director) found(now time.Time, e *entry, at netip.AddrPort, withFirst bool) {
+	k := e.seek
 	d.stats.Found++
-	d.trace.Found(now, m.Key, from, now.Sub(e.seek.since))
-	kept := e.seek.kept
-	d.placed(e, from)
-	for _, packet := range kept {
-		d.pass(from, packet)
+	d.trace.Found(now, k.segment.Key, at, now.Sub(k.since))
+	d.placed(e, at)
+	if withFirst {
+		d.pass(at, k.packet)
+	}
+	for _, packet := range k.kept {
+		d.pass(at, packet)
 	}
 }
 
--- a/flow/gate.go
+++ b/flow/gate.go
@@ -130,6 +130,7 @@
 	meter     placement.Meter
 	normal    time.Duration // mean time from a request to the server's answer
 	normalOf  int           // requests behind it, up to normalAfter
+	answer    []byte        // to a query, of the running call
 	stats     GateStats
 	out       []Effect
 	trace     GateTracer
@@ -185,6 +186,10 @@
 		}
 		return
 	}
+	if m.Kind == Query {
+		g.onQuery(now, from, packet)
+		return
+	}
 	if s == nil {
 		return
 	}
--- a/flow/message.go
+++ b/flow/message.go
@@ -42,11 +42,21 @@
 	// Balancers tells a balancer that has just started of others; their
 	// addresses follow. From an agent.
 	Balancers
-
-	lastKind = Balancers
+	// Query asks whether the server holds some flows; they follow. To an agent.
+	Query
+	// QueryAnswer answers Query; what there is to say of the flows follows.
+	QueryAnswer
+	// Return asks for room for the caller of a flow that has ended, before the
+	// caller is told to open a new one. To an agent, which answers with Queued
+	// and then with Room, or with Refused.
+	Return
+	// Room answers Return: the server has room for the caller's new flow.
+	Room
+
+	lastKind = Room
 )
 
-var kinds = [...]string{"invalid", "open", "pass", "seek", "taken", "refused", "queued", "held", "not_held", "hello", "report", "ask_roster", "roster", "balancers"}
+var kinds = [...]string{"invalid", "open", "pass", "seek", "taken", "refused", "queued", "held", "not_held", "hello", "report", "ask_roster", "roster", "balancers", "query", "query_answer", "return", "room"}
 
 // String returns the kind's name.
 func (k MessageKind) String() string {
@@ -59,6 +69,12 @@
 // BetweenBalancers reports whether k is sent by balancers to balancers.
 func (k MessageKind) BetweenBalancers() bool { return k == AskRoster || k == Roster }
 
+// CarriesPacket reports whether what follows a message of this kind, if anything
+// does, is a packet of a flow.
+func (k MessageKind) CarriesPacket() bool {
+	return k == Open || k == Pass || k == Seek || k == NotHeld
+}
+
 // Valid reports whether k is one of the kinds.
 func (k MessageKind) Valid() bool { return k >= Open && k <= lastKind }
 
@@ -68,16 +84,16 @@
 	Kind        MessageKind
 	Reason      Reason              // Refused, NotHeld; ReasonState in Hello, Roster: the sender has just started; ReasonNotHeld in Report: the server holds no flow and gets none
 	State       ServerState         // sent by agents
-	Priority    uint8               // Open: of the route, 0 is the most urgent; Roster: messages of it that follow
-	OnTime      time.Duration       // Open: how long it may wait and still be answered in time
-	Wait        time.Duration       // Open: how long it may wait for room at all, 0 for not
+	Priority    uint8               // Open, Return: of the route, 0 is the most urgent; Roster: messages of it that follow
+	OnTime      time.Duration       // Open, Return: how long it may wait and still be answered in time
+	Wait        time.Duration       // Open, Return: how long it may wait for room at all, 0 for not; Hello: time between the agent's reports
 	Occupancy   placement.Occupancy // sent by agents
-	Service     ServiceID           // Open: the route's; sent by agents: their server's
+	Service     ServiceID           // Open, Return: the route's; sent by agents: their server's
 	Revision    uint64              // newest configuration that the sender knows of
 	Heard       time.Duration       // Report: since the sender last heard the receiver
 	ReadAge     ReadAge             // of the latest read of the configuration that the sender knows of
 	Incarnation uint64              // sent by agents: drawn at the start of the process; AskRoster, Roster: number of the question
-	Key         Key                 // Taken, Refused, Queued, Held, NotHeld
+	Key         Key                 // Taken, Refused, Queued, Held, NotHeld, Return, Room
 	Zone        uint32              // Report: hash of the sender's availability zone
 }
 
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -75,6 +75,8 @@
 		d.onRefused(now, from, m)
 	case Balancers:
 		d.takeBalancers(packet)
+	case QueryAnswer:
+		d.onQueryAnswer(now, from, packet)
 	case Queued:
 		d.onQueued(now, from, m)
 	case Held:
@@ -190,6 +192,7 @@
 	d.expireOffers(now)
 	d.askRoster(now)
 	d.askAgain(now)
+	d.askRound(now)
 	d.concludeUnsure(now)
 	for _, a := range d.agents {
 		d.attend(now, a)
@@ -247,6 +250,9 @@
 	if d.asking.len() > 0 && d.asking.first().at.Before(next) {
 		next = d.asking.first().at
 	}
+	if d.queries.waiting() && d.queries.nextAt.Before(next) {
+		next = d.queries.nextAt
+	}
 	for _, queue := range [...]*fifo[due]{&d.queue, &d.queued} {
 		if queue.len() > 0 && queue.first().at.Before(next) {
 			next = queue.first().at
--- /dev/null
+++ b/flow/query.go
@@ -0,0 +1,314 @@
+package flow
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+)
+
+const (
+	// querySize is the length of one flow in a Query in bytes: its key, and what
+	// its caller acknowledged.
+	querySize = KeySize + 4
+	// answerSize is the length of one flow in a QueryAnswer in bytes.
+	answerSize = KeySize + 1
+	// numberSize is the length of a Query's number, which its answer repeats.
+	numberSize = 8
+	// maxQueried is the number of flows in one Query, so that it stays below the
+	// smallest MTU in use.
+	maxQueried = 64
+	// messageOverhead is what a message takes on the network besides what follows
+	// it, in bytes: its header, UDP's and IP's.
+	messageOverhead = 54 + 28
+	// searchShare is the part of the VM's link that searches may take, in either
+	// direction. Callers' packets, which a balancer receives and sends on, and
+	// offers have the rest.
+	searchShare = 0.3
+	// searchMessages bounds the messages of searches in a second: a message and
+	// its answer take 20 us of a processor, so a tenth of a core at most.
+	searchMessages = 2500
+	// packetSpan is the time's worth of the link that packets of flows take at
+	// once, sent to agents that can't answer without one.
+	packetSpan = 20 * time.Millisecond
+	// questionBurst is how far ahead of that pace questions may be sent at once: a
+	// few flows that routers move are found without waiting for a round.
+	questionBurst = 10 * time.Millisecond
+	// queryExpiry is how long an answer to a Query is waited for: beyond the
+	// times at which the agent is asked again.
+	queryExpiry = time.Second
+)
+
+// Finding is what an agent says of a flow that it was asked for.
+type Finding uint8
+
+// The findings. NotHere is not written: all flows of a Query that its answer does
+// not name are not at the server.
+const (
+	NotHere     Finding = iota
+	Here                // the server holds it
+	Ended               // the server held it and has lost it
+	NeedsPacket         // only the server can tell, and only from a packet
+	CannotTell          // not even that there is a server is known yet
+
+	lastFinding = CannotTell
+)
+
+// seekRef refers to a search that may have ended since.
+type seekRef struct {
+	k      *seek
+	serial uint64
+}
+
+func (r seekRef) ends() bool { return r.k.serial != r.serial }
+
+// outbox is what one agent is asked next.
+type outbox struct {
+	agent netip.AddrPort
+	flows []seekRef
+}
+
+// query is one Query that was sent.
+type query struct {
+	number uint64
+	agent  netip.AddrPort
+	sentAt time.Time
+	flows  []seekRef
+}
+
+// packetDue is an agent that needs a packet of a flow.
+type packetDue struct {
+	ref   seekRef
+	agent netip.AddrPort
+}
+
+// queries paces the questions of a balancer's searches. After a loss of power
+// hundreds of flows a second are nobody's, and each is asked for at every agent.
+// Sent one by one with the caller's packet these questions filled a link of
+// 10 Mbit/s, offers of new flows missed their timeouts, and callers came back for
+// want of an answer: the overload fed itself for 14 s. So a search sends the
+// packet at once only if no other one went before it lately. All others wait for
+// the next round, in which an agent is asked for many flows by one message. The
+// next round begins when the link and the processor have had the time that their
+// share of this one takes, so that a slower link has larger rounds and never more
+// bytes.
+type queries struct {
+	link    float64 // bytes a second for searches
+	nextAt  time.Time
+	boxes   map[netip.AddrPort]*outbox
+	full    []*outbox // those with something in them
+	packets fifo[packetDue]
+	sent    map[uint64]*query
+	order   fifo[*query] // sent, the oldest first
+	spare   []*query
+	arena   []byte // what follows the messages of the running call
+}
+
+func newQueries(link float64) queries {
+	return queries{link: link * searchShare, boxes: make(map[netip.AddrPort]*outbox), sent: make(map[uint64]*query)}
+}
+
+// idle reports whether the next question may be sent at once.
+func (q *queries) idle(now time.Time) bool {
+	return !now.Add(questionBurst).Before(q.nextAt) && !q.waiting()
+}
+
+func (q *queries) waiting() bool { return len(q.full) > 0 || q.packets.len() > 0 }
+
+// charge puts the next round off for what messages with so many bytes after
+// their headers take, with their answers.
+func (q *queries) charge(now time.Time, messages, bytes int) {
+	onLink := float64(messages*messageOverhead+bytes) / q.link
+	onProcessor := float64(messages) / searchMessages
+	if q.nextAt.Before(now) {
+		q.nextAt = now
+	}
+	q.nextAt = q.nextAt.Add(time.Duration(max(onLink, onProcessor) * float64(time.Second)))
+}
+
+// add has agent asked for a flow in the next round.
+func (q *queries) add(agent netip.AddrPort, k *seek) {
+	box := q.boxes[agent]
+	if box == nil {
+		box = &outbox{agent: agent}
+		q.boxes[agent] = box
+	}
+	if len(box.flows) == 0 {
+		q.full = append(q.full, box)
+	}
+	box.flows = append(box.flows, seekRef{k, k.serial})
+}
+
+// take returns the next message's worth of flows for an agent.
+func (b *outbox) take(into []seekRef) []seekRef {
+	n := 0
+	for n < len(b.flows) && len(into) < maxQueried {
+		if ref := b.flows[n]; !ref.ends() {
+			into = append(into, ref)
+		}
+		n++
+	}
+	b.flows = b.flows[:copy(b.flows, b.flows[n:])]
+	return into
+}
+
+// note keeps a query until its answer comes.
+func (q *queries) note(now time.Time, number uint64, agent netip.AddrPort) *query {
+	for q.order.len() > 0 && now.Sub((*q.order.first()).sentAt) >= queryExpiry {
+		old := q.order.pop()
+		delete(q.sent, old.number)
+		q.spare = append(q.spare, old)
+	}
+	v := take(&q.spare)
+	*v = query{number: number, agent: agent, sentAt: now, flows: v.flows[:0]}
+	q.sent[number] = v
+	q.order.push(v)
+	return v
+}
+
+// askRound sends the questions that wait, when their time has come.
+func (d *Director) askRound(now time.Time) {
+	q := &d.queries
+	if !q.waiting() || now.Before(q.nextAt) {
+		return
+	}
+	q.arena = q.arena[:0]
+	messages, bytes := 0, 0
+	boxes := q.full
+	q.full = q.full[:0]
+	for _, box := range boxes {
+		if n := d.sendQuery(now, box); n > 0 {
+			messages++
+			bytes += n
+		}
+		if len(box.flows) > 0 {
+			q.full = append(q.full, box)
+		}
+	}
+	sent, size := d.sendPackets(int(q.link*packetSpan.Seconds()) - bytes)
+	q.charge(now, messages+sent, bytes+size)
+}
+
+// sendQuery asks one agent for the flows that wait for it, as far as one message
+// holds them. It returns the bytes that follow the message's header.
+func (d *Director) sendQuery(now time.Time, box *outbox) int {
+	v := d.queries.note(now, d.nextSerial(), box.agent)
+	v.flows = box.take(v.flows)
+	start := len(d.queries.arena)
+	b := binary.LittleEndian.AppendUint64(d.queries.arena, v.number)
+	for _, ref := range v.flows {
+		ref.k.question(box.agent).waits = false
+		b = ref.k.segment.Key.Append(b)
+		b = binary.LittleEndian.AppendUint32(b, ref.k.segment.Ack)
+	}
+	d.queries.arena = b
+	if len(v.flows) == 0 {
+		return 0
+	}
+	d.send(box.agent, Message{Kind: Query}, b[start:])
+	return len(b) - start
+}
+
+// sendPackets sends packets of flows to the agents that need them, of so many
+// bytes, and one at least.
+func (d *Director) sendPackets(budget int) (messages, bytes int) {
+	q := &d.queries
+	for q.packets.len() > 0 && (messages == 0 || bytes < budget) {
+		p := q.packets.pop()
+		if p.ref.ends() {
+			continue
+		}
+		p.ref.k.question(p.agent).waits = false
+		d.send(p.agent, Message{Kind: Seek}, p.ref.k.packet)
+		messages++
+		bytes += len(p.ref.k.packet) + messageOverhead
+	}
+	return messages, bytes
+}
+
+// onQueryAnswer takes what an agent says of the flows that it was asked for.
+func (d *Director) onQueryAnswer(now time.Time, from netip.AddrPort, b []byte) {
+	if len(b) < numberSize {
+		return
+	}
+	number := binary.LittleEndian.Uint64(b)
+	v := d.queries.sent[number]
+	if v == nil || v.agent != from {
+		return
+	}
+	delete(d.queries.sent, number)
+	for _, ref := range v.flows {
+		if !ref.ends() {
+			d.onFinding(now, from, ref.k, findingOf(ref.k.segment.Key, b[numberSize:]))
+		}
+	}
+}
+
+// findingOf returns what an answer says of a flow.
+func findingOf(key Key, answer []byte) Finding {
+	for ; len(answer) >= answerSize; answer = answer[answerSize:] {
+		if k, _ := DecodeKey(answer); k == key && answer[KeySize] <= byte(lastFinding) {
+			return Finding(answer[KeySize])
+		}
+	}
+	return NotHere
+}
+
+// onFinding takes what an agent says of one flow.
+func (d *Director) onFinding(now time.Time, from netip.AddrPort, k *seek, f Finding) {
+	e := d.flows[k.segment.Key]
+	if e == nil || e.seek != k {
+		return
+	}
+	switch f {
+	case Here:
+		d.found(now, e, from, true)
+	case Ended:
+		d.lost(now, &k.segment, ReasonLost)
+	case NeedsPacket:
+		if p := k.question(from); p != nil && !p.waits {
+			p.waits = true
+			d.queries.packets.push(packetDue{seekRef{k, k.serial}, from})
+		}
+	case NotHere:
+		d.answered(now, e, from)
+	}
+}
+
+// onQuery answers a balancer's question for flows.
+func (g *Gate) onQuery(now time.Time, from netip.AddrPort, b []byte) {
+	if len(b) < numberSize {
+		return
+	}
+	g.answer = append(g.answer[:0], b[:numberSize]...)
+	for b = b[numberSize:]; len(b) >= querySize; b = b[querySize:] {
+		key, _ := DecodeKey(b)
+		s := Segment{Key: key, Ack: binary.LittleEndian.Uint32(b[KeySize:]), HasAck: true}
+		if f := g.find(now, &s); f != NotHere {
+			g.answer = append(key.Append(g.answer), byte(f))
+		}
+	}
+	g.reply(now, from, Message{Kind: QueryAnswer}, g.answer)
+}
+
+// find returns what is known of the flow that a packet belongs to.
+func (g *Gate) find(now time.Time, s *Segment) Finding {
+	f := g.flows[s.Key]
+	switch {
+	case f == nil && g.sure(now):
+		g.stats.NotHeld++
+		return NotHere
+	case f == nil && !g.server.alive:
+		return CannotTell
+	case f == nil:
+		return NeedsPacket
+	case f.state == gateLost:
+		g.stats.Lost++
+		return Ended
+	case f.state == gateProbed:
+		return NeedsPacket
+	case !f.matches(s):
+		g.stats.NotHeld++
+		return NotHere
+	}
+	return Here
+}
--- a/flow/types.go
+++ b/flow/types.go
@@ -133,9 +133,10 @@
 	ReasonLost            // the server held the flow and has lost it
 	ReasonOverflow        // a bounded table is full
 	ReasonSearches        // too many flows are being looked for
+	ReasonReturn          // the flow has ended, and its caller is told as soon as there is room for it
 )
 
-var reasons = [...]string{"none", "state", "service", "busy", "bounced", "silent", "timeout", "no_route", "no_agent", "not_held", "lost", "overflow", "searches"}
+var reasons = [...]string{"none", "state", "service", "busy", "bounced", "silent", "timeout", "no_route", "no_agent", "not_held", "lost", "overflow", "searches", "return"}
 
 // String returns the reason's name.
 func (r Reason) String() string {
--- a/internal/flowagent/agent.go
+++ b/internal/flowagent/agent.go
@@ -247,8 +247,8 @@
 	if !ok {
 		return
 	}
-	if len(packet) == 0 {
-		g.FromBalancer(now, from, &m, nil, nil)
+	if len(packet) == 0 || !m.Kind.CarriesPacket() {
+		g.FromBalancer(now, from, &m, nil, packet)
 		return
 	}
 	if s, ok := a.cfg.Codec.FromCaller(packet); ok {
--- a/internal/flowbalancer/balancer.go
+++ b/internal/flowbalancer/balancer.go
@@ -93,6 +93,7 @@
 func New(cfg Config, log *zap.Logger, reg prometheus.Registerer) (*Balancer, error) {
 	cfg.Director.Zone = cfg.Settings.Zone
 	cfg.Director.MaxAge = cfg.Settings.MaxFlowAge
+	cfg.Director.Link = cfg.Settings.Link
 	b := &Balancer{cfg: cfg, log: log, look: make(chan struct{}, 1), kick: make(chan struct{}, 1)}
 	spans, err := node.NewSpans(cfg.Traces)
 	if err != nil {
@@ -278,7 +279,7 @@
 		d.FromBalancer(now, from, &m, packet)
 		return
 	}
-	if len(packet) == 0 || m.Kind == flow.Balancers {
+	if len(packet) == 0 || !m.Kind.CarriesPacket() {
 		d.FromAgent(now, from, &m, nil, packet)
 		return
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -27,13 +27,14 @@
 	MaxFlowAge  time.Duration // age from which a flow may be discarded
 	Grace       time.Duration // from SIGTERM to SIGKILL
 	AddressRest time.Duration // least time before another service gets a server's address
+	Link        float64       // bytes a second that the VM's network link carries; 0 if unknown
 }
 
 // Fields describes the settings for a log line.
 func (s *Settings) Fields() []zap.Field {
 	return []zap.Field{
 		zap.String("vm", s.Name), zap.String("zone", s.Zone), zap.String("service", s.Service), zap.Int("seeds", len(s.Seeds)),
-		zap.Duration("max_flow_age", s.MaxFlowAge), zap.Duration("grace", s.Grace), zap.Duration("address_rest", s.AddressRest),
+		zap.Duration("max_flow_age", s.MaxFlowAge), zap.Duration("grace", s.Grace), zap.Duration("address_rest", s.AddressRest), zap.Float64("link_bytes_per_second", s.Link),
 	}
 }
 
@@ -58,6 +59,7 @@
 		{"server", s.Server == other.Server},
 		{"service", s.Service == other.Service},
 		{"grace", s.Grace == other.Grace},
+		{"link", s.Link == other.Link},
 	} {
 		if !f.same {
 			list = append(list, f.name)
