Servers that start again under their identity; heartbeats and keys of other writers; agents take their key away

An unknown state passed for ready, missing fields for 0, a key without an IPv4 address ended the process with a panic, and every heartbeat was acknowledged, acted on or not. Nobody called Introducer.Leave: the key of an agent that was stopped stayed for 45 s and was waited for by each balancer that started. Change: a start is identity and born; born is compared with nothing but another born of the same identity, and a lower one alone does not make a start old. Keys must stand under their own address. One bad item of a list hides no other. Wrong ones are counted, logged once a second at most. The stand-in's wire translates keys as well as values, since both are read now.

--- a/flow/gate.go
+++ b/flow/gate.go
@@ -59,8 +59,13 @@
 
 // Heartbeat is one heartbeat of the backend server.
 type Heartbeat struct {
-	Instance string // identity of this start of the server
-	Sequence uint64 // increases with each heartbeat of an instance
+	Instance string // identity of the server; it may keep it when it starts anew
+	// Born tells one start of the server from another under the same identity: the
+	// time of day of the start by the server's own clock, in Unix milliseconds. It
+	// is compared with nothing else. 0 if the server does not tell.
+	Born     int64
+	Addr     netip.AddrPort // where it takes packets
+	Sequence uint64         // increases with each heartbeat of one start
 	Service  ServiceID
 	Draining bool
 	Slots    int           // requests that the server works on at once
--- a/flow/gate_config.go
+++ b/flow/gate_config.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"time"
 )
 
@@ -12,6 +13,9 @@
 	// Service is the service that the server belongs to by the settings. A
 	// heartbeat that names another one goes before it.
 	Service ServiceID
+	// Server is where the server takes packets. A heartbeat that names another
+	// address is of another server. The zero value lets all pass.
+	Server netip.AddrPort
 
 	// Fresh is how long a heartbeat vouches for the server. It has to be
 	// shorter than the time after which an address is used again by another
--- a/flow/server.go
+++ b/flow/server.go
@@ -1,13 +1,15 @@
 package flow
 
 import (
+	"cmp"
 	"time"
 )
 
 // server is what an agent knows about its backend server.
 type server struct {
 	instance    string
-	previous    string // instance before this one
+	born        int64 // of this start; 0 if not known
+	previous    start // the one before
 	sequence    uint64
 	service     ServiceID
 	slots       int
@@ -21,11 +23,25 @@
 	heartbeatAt time.Time
 	spokeAt     time.Time // last packet or heartbeat
 	coldUntil   time.Time
-	young       bool   // it and this process had just started when they first met
-	rival       string // another instance that sent a heartbeat
+	young       bool  // it and this process had just started when they first met
+	rival       start // another start that sent a heartbeat
 	rivalSeq    uint64
 }
 
+// start identifies one start of a server.
+type start struct {
+	instance string
+	born     int64 // as in Heartbeat
+}
+
+// is reports whether b is of this start, as far as both tell.
+func (s start) is(b *Heartbeat) bool {
+	return s.instance != "" && s.instance == b.Instance && (s.born == b.Born || s.born == 0 || b.Born == 0)
+}
+
+// start returns which start of the server is known.
+func (v *server) start() start { return start{v.instance, v.born} }
+
 // State returns what the agent believes about its server now.
 func (g *Gate) State(now time.Time) ServerState {
 	v := &g.server
@@ -55,9 +71,10 @@
 	}
 	before := g.State(now)
 	v := &g.server
-	if b.Instance != v.instance {
+	if !v.start().is(&b) {
 		g.newInstance(now, &b)
 	}
+	v.born = cmp.Or(b.Born, v.born)
 	if v.sequence == 0 {
 		v.young = b.Sequence <= youngSequence && now.Sub(g.started) <= youngAge
 		defer g.report(now, true)
@@ -81,35 +98,53 @@
 }
 
 // current reports whether b tells something newer than what is known. A
-// heartbeat of an instance never seen may be one of an older instance that was
-// held up: while the known instance is heard, an unknown one has to have just
-// started, or to go on sending.
+// heartbeat of a start never seen may be one of an older start that was held up:
+// while the known one is heard, an unknown one has to have just started, or to go
+// on sending.
 func (g *Gate) current(now time.Time, b *Heartbeat) bool {
 	v := &g.server
-	switch b.Instance {
-	case v.instance:
+	switch {
+	case g.foreign(now, b):
+		return false
+	case v.start().is(b):
 		return !v.known || b.Sequence > v.sequence || v.sequence == 0
-	case v.previous:
+	case v.previous.is(b):
 		return false
 	}
-	if !v.known || now.Sub(v.heartbeatAt) >= g.cfg.Fresh || b.Sequence <= earlySequence {
+	// A clock that was set back gives a new start a lower number than the old one
+	// has, so a lower number alone does not tell which is older.
+	older := b.Instance == v.instance && b.Born < v.born
+	if !v.known || now.Sub(v.heartbeatAt) >= g.cfg.Fresh || b.Sequence <= earlySequence && !older {
 		return true
 	}
-	if v.rival == b.Instance && b.Sequence > v.rivalSeq {
+	if v.rival.is(b) && b.Sequence > v.rivalSeq {
 		return true
 	}
-	v.rival, v.rivalSeq = b.Instance, b.Sequence
+	v.rival, v.rivalSeq = start{b.Instance, b.Born}, b.Sequence
 	return false
 }
 
+// foreign reports whether a heartbeat is of another writer than the server: it
+// names another address, or another service while the server of the settings'
+// service is heard. An address gets to another service only after a rest that is
+// longer than a heartbeat vouches for.
+func (g *Gate) foreign(now time.Time, b *Heartbeat) bool {
+	v := &g.server
+	if g.cfg.Server.IsValid() && b.Addr.IsValid() && b.Addr != g.cfg.Server {
+		return true
+	}
+	heard := v.known && now.Sub(v.heartbeatAt) < g.cfg.Fresh
+	return heard && b.Service != v.service && b.Service != g.cfg.Service
+}
+
 // newInstance notes that the server was started anew: its flows are gone.
 func (g *Gate) newInstance(now time.Time, b *Heartbeat) {
 	v := &g.server
 	hadOne := v.instance != ""
-	v.previous = v.instance
-	v.instance = b.Instance
+	v.previous = v.start()
+	v.instance, v.born = b.Instance, b.Born
 	v.sequence = 0
-	v.rival = ""
+	v.rival = start{}
 	// All flows of this instance came through this process if it heard of the
 	// instance from its beginning, or knew the one before.
 	v.complete = hadOne || v.absent || b.Sequence <= earlySequence
@@ -158,9 +193,10 @@
 	g.stateChanged(now, ServerUnknown, "status check")
 }
 
-// Leave notes that the instance has said that it ends.
-func (g *Gate) Leave(now time.Time, instance string) {
-	if instance != g.server.instance {
+// Leave notes that the instance has said that it ends. What an earlier start under
+// the same identity said does not count.
+func (g *Gate) Leave(now time.Time, instance string, born int64) {
+	if !g.server.start().is(&Heartbeat{Instance: instance, Born: born}) {
 		return
 	}
 	before := g.State(now)
--- a/internal/flowagent/agent.go
+++ b/internal/flowagent/agent.go
@@ -53,6 +53,8 @@
 	// restMargin is how much earlier than the end of an address's rest the
 	// server counts as unknown.
 	restMargin = 100 * time.Millisecond
+	// wrongLogEvery is the time between two log lines on wrong heartbeats.
+	wrongLogEvery = time.Second
 	// readHeaderTimeout bounds how long a caller of a page may take.
 	readHeaderTimeout = 5 * time.Second
 )
@@ -71,8 +73,10 @@
 
 	introducer *node.Introducer
 	heartbeat  prometheus.Histogram
+	wrongBeats prometheus.Counter
 
 	beats      *node.Output // used under beatMu
+	wrongAt    time.Time    // when a wrong heartbeat was logged last; used under beatMu
 	beatMu     sync.Mutex
 	kick       chan struct{}
 	sleepUntil atomic.Int64 // node.Now until which the ticking duty sleeps, in ns
@@ -86,6 +90,7 @@
 	cfg.Gate.Zone = s.Zone
 	cfg.Gate.Incarnation = rand.Uint64()
 	cfg.Gate.Service = flow.IDOf(s.Service)
+	cfg.Gate.Server = s.Server
 	cfg.Gate.MaxAge = s.MaxFlowAge
 	cfg.Gate.Fresh = fresh(s)
 	a := &Agent{cfg: cfg, log: log, kick: make(chan struct{}, 1)}
@@ -95,6 +100,8 @@
 	}
 	a.gate = flow.NewGate(node.Now(), cfg.Gate, newTracer(log, spans, reg))
 	a.heartbeat = node.NewLatency(reg, "hemlock_heartbeat_answer_seconds", "time in which a heartbeat of the server is answered")
+	a.wrongBeats = prometheus.NewCounter(prometheus.CounterOpts{Name: "hemlock_heartbeats_wrong_total", Help: "heartbeats that no backend server sends: fields missing or of another type, an unknown state"})
+	reg.MustRegister(a.wrongBeats)
 	a.introduceSeeds(s.Seeds)
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	if a.control, err = net.Listen("tcp4", s.Control.String()); err != nil {
@@ -114,6 +121,7 @@
 		Self:  node.Peer{Role: node.RoleAgent, Addr: s.Packets, Zone: s.Zone, Service: s.Service},
 		Store: cfg.Store,
 		Found: a.introduce,
+		Wrong: node.NewWrongKeys(reg),
 		Log:   log,
 	}
 	registerMetrics(reg, a)
@@ -171,9 +179,12 @@
 func (a *Agent) Close() { a.cancel() }
 
 // Drain implements daemon.Part. The platform stops an agent after its server
-// has ended; balancers learn it at once.
-func (a *Agent) Drain(context.Context) {
+// has ended; balancers learn it at once, and those that start later don't find it
+// in the store. A key that stayed for its lease held up the searches of every
+// balancer that started within 45 s, since the agent never answered.
+func (a *Agent) Drain(ctx context.Context) {
 	a.event(func(now time.Time) { a.gate.Close(now) })
+	a.introducer.Leave(ctx)
 }
 
 func (a *Agent) output() *node.Output {
@@ -205,15 +216,30 @@
 }
 
 // Heartbeat implements node.ServerEvents.
-func (a *Agent) Heartbeat(b flow.Heartbeat) {
+func (a *Agent) Heartbeat(b flow.Heartbeat) (taken bool) {
 	start := time.Now()
 	defer func() { a.heartbeat.Observe(time.Since(start).Seconds()) }()
-	a.event(func(now time.Time) { a.gate.Heartbeat(now, b) })
+	a.event(func(now time.Time) { taken = a.gate.Heartbeat(now, b) })
+	return taken
+}
+
+// WrongHeartbeat implements node.ServerEvents. Whoever sends such heartbeats may
+// send many: one line a second says so, the counter tells how many there are.
+func (a *Agent) WrongHeartbeat(err error) {
+	a.wrongBeats.Inc()
+	a.beatMu.Lock()
+	defer a.beatMu.Unlock()
+	now := node.Now()
+	if now.Sub(a.wrongAt) < wrongLogEvery {
+		return
+	}
+	a.wrongAt = now
+	a.log.Warn("heartbeat of no server", zap.Error(err))
 }
 
 // Leave implements node.ServerEvents.
-func (a *Agent) Leave(instance string) {
-	a.event(func(now time.Time) { a.gate.Leave(now, instance) })
+func (a *Agent) Leave(instance string, born int64) {
+	a.event(func(now time.Time) { a.gate.Leave(now, instance, born) })
 }
 
 // readBalancers is the duty that takes balancers' messages.
--- a/internal/flowbalancer/balancer.go
+++ b/internal/flowbalancer/balancer.go
@@ -72,6 +72,7 @@
 	shared    net.Listener // where other balancers ask for the configuration
 	follower  *node.Follower
 	readiness *node.Readiness
+	wrongKeys prometheus.Counter
 
 	mu        sync.Mutex
 	director  *flow.Director
@@ -116,6 +117,7 @@
 		return nil, err
 	}
 	b.follower = b.newFollower()
+	b.wrongKeys = node.NewWrongKeys(reg)
 	registerMetrics(reg, b)
 	return b, nil
 }
@@ -314,6 +316,7 @@
 		Self:  node.Peer{Role: node.RoleBalancer, Addr: b.addr(), Zone: b.cfg.Settings.Zone},
 		Store: b.cfg.Store,
 		Found: b.introduce,
+		Wrong: b.wrongKeys,
 		Log:   b.log,
 	}
 	g.Add(func() error { return i.Run(b.ctx) }, func(error) { b.cancel() })
--- a/internal/node/introduce.go
+++ b/internal/node/introduce.go
@@ -4,10 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/hemlockscale/hemlockscale/internal/store"
@@ -41,6 +44,38 @@
 
 func (p *Peer) key() string { return PeersPrefix + p.Addr.String() }
 
+// PeerError reports a key that no process has written.
+type PeerError struct {
+	Key    string
+	Reason string
+}
+
+func (e *PeerError) Error() string {
+	return fmt.Sprintf("key %s: %s; remove it, only processes of this system write under %s", e.Key, e.Reason, PeersPrefix)
+}
+
+// parsePeer reads the key of a process. Other programs may write under the same
+// prefix: what is not whole, or stands under another address's key, names nobody.
+func parsePeer(key string, data []byte) (Peer, error) {
+	var p Peer
+	if err := json.Unmarshal(data, &p); err != nil {
+		return Peer{}, &PeerError{key, err.Error()}
+	}
+	switch {
+	case p.Role != RoleBalancer && p.Role != RoleAgent:
+		return Peer{}, &PeerError{key, fmt.Sprintf("role %q is not known", p.Role)}
+	case !p.Addr.Addr().Is4() || p.Addr.Port() == 0:
+		return Peer{}, &PeerError{key, "no IPv4 address with a port"}
+	case p.key() != key:
+		return Peer{}, &PeerError{key, "names " + p.Addr.String()}
+	case p.Zone == "":
+		return Peer{}, &PeerError{key, "no availability zone"}
+	case p.Role == RoleAgent && p.Service == "":
+		return Peer{}, &PeerError{key, "an agent without a service"}
+	}
+	return p, nil
+}
+
 const (
 	// entryLease is how long the key of a process outlives it: longer than most
 	// outages of the store and than any restart.
@@ -57,11 +92,19 @@
 	retryMax  = time.Second
 )
 
+// NewWrongKeys returns the counter of keys that no process has written.
+func NewWrongKeys(reg prometheus.Registerer) prometheus.Counter {
+	c := prometheus.NewCounter(prometheus.CounterOpts{Name: "hemlock_store_keys_wrong_total", Help: "keys read in the store that no process of this system has written"})
+	reg.MustRegister(c)
+	return c
+}
+
 // Introducer keeps the key of this process in the store and learns of others.
 type Introducer struct {
 	Self  Peer
 	Store Store
 	Found func(peers []Peer) // called with every list, by the introducer's goroutine
+	Wrong prometheus.Counter // keys that no process has written, each time they are read
 	Log   *zap.Logger
 
 	mu       sync.Mutex // guards lease
@@ -69,6 +112,7 @@
 	renewAt  time.Time
 	readOnce bool // a list was read that can't be stale
 	failing  bool
+	left     atomic.Bool // the key was taken away for good
 }
 
 // Run introduces the process until ctx ends.
@@ -100,6 +144,7 @@
 // that starts, and the flows that it must be sure about wait for the answer. A
 // key that stays ends with its lease.
 func (i *Introducer) Leave(ctx context.Context) {
+	i.left.Store(true)
 	lease := i.leaseID()
 	if lease == "" {
 		return
@@ -137,6 +182,9 @@
 // step makes the calls that are due. The own key is written before others are
 // read: of two processes that start at once, the later one then sees the other.
 func (i *Introducer) step(ctx context.Context) error {
+	if i.left.Load() {
+		return nil
+	}
 	if i.leaseID() == "" {
 		if err := i.enter(ctx); err != nil {
 			return err
@@ -194,10 +242,12 @@
 	}
 	own := false
 	peers := make([]Peer, 0, len(items))
+	var wrong error
 	for _, item := range items {
-		var p Peer
-		if err := json.Unmarshal(item.Data, &p); err != nil {
-			i.Log.Warn("key of a process can't be read", zap.String("key", item.Key), zap.Error(err))
+		p, err := parsePeer(item.Key, item.Data)
+		if err != nil {
+			i.Wrong.Inc()
+			wrong = err
 			continue
 		}
 		if p.Addr == i.Self.Addr {
@@ -206,6 +256,9 @@
 		}
 		peers = append(peers, p)
 	}
+	if wrong != nil {
+		i.Log.Warn("key of no process", zap.Error(wrong), zap.Int("processes", len(peers)))
+	}
 	i.Found(peers)
 	i.readOnce = true
 	if own {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,8 +11,14 @@
 
 // ServerEvents takes what a backend server tells its agent.
 type ServerEvents interface {
-	Heartbeat(flow.Heartbeat)
-	Leave(instance string)
+	// Heartbeat returns false for one that is not acted on, and so must not be
+	// acknowledged.
+	Heartbeat(flow.Heartbeat) bool
+	// WrongHeartbeat is told of one that no server sends.
+	WrongHeartbeat(error)
+	// Leave is told that an instance ends. born is when it was started, as in
+	// flow.Heartbeat.
+	Leave(instance string, born int64)
 }
 
 // PacketCodec translates the platform's packets.
--- a/internal/standin/platform/endpoint.go
+++ b/internal/standin/platform/endpoint.go
@@ -15,7 +15,7 @@
 	store *Store
 	http  *httptest.Server
 	fault Fault // guarded by store.mu; the zero fault leaves the store's own
-	// Translate, if not nil, changes the values that are read by this endpoint. It
+	// Translate, if not nil, changes what lists name by this endpoint, keys and values. It
 	// has to be set before the endpoint is used.
 	Translate func(value []byte) []byte
 
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -296,7 +296,7 @@
 		i := s.items[key]
 		s.mu.Unlock()
 		if d := endpointOf(r); d != nil && d.Translate != nil {
-			i.Value = d.Translate(i.Value)
+			i.Key, i.Value = string(d.Translate([]byte(i.Key))), d.Translate(i.Value)
 		}
 		items = append(items, i)
 	}
--- a/internal/standin/platform/wire.go
+++ b/internal/standin/platform/wire.go
@@ -86,7 +86,7 @@
 	defer w.mu.Unlock()
 	for addr, e := range w.ends {
 		if addr != reader {
-			value = bytes.ReplaceAll(value, []byte(`"`+e.own.String()+`"`), []byte(`"`+e.known.String()+`"`))
+			value = bytes.ReplaceAll(value, []byte(e.own.String()), []byte(e.known.String()))
 		}
 	}
 	return value
