--- a/flow/director.go
+++ b/flow/director.go
@@ -194,6 +194,7 @@
 	balancers       map[netip.AddrPort]struct{}  // others
 	rosterKnown     bool                         // one of them told its agents
 	othersNew       bool                         // one of them said that it has just started
+	listed          bool                         // the store has named the agents that it knows
 	othersStarted   bool                         // all agents that were heard have just started
 	everyoneStarted bool                         // all agents have
 	rosterAt        time.Time                    // when they are asked next
--- a/flow/find.go
+++ b/flow/find.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// block has a search looked at again once there are fewer agents to wait for.
+func (d *Director) block(k *seek) {
+	if !k.blocked {
+		k.blocked = true
+		d.blocked = append(d.blocked, seekRef{k, k.serial})
+	}
+}
+
 // concludeBlocked comes back to the searches that waited for an agent's answer,
 // once an agent need not answer any more. Their callers' packets come at intervals
 // that grow to 1.6 s: of 623 flows that ended in a loss of power 377 ran into
@@ -257,10 +265,7 @@
 		q := &k.asked[i]
 		told := q.answered || q.unsure && d.everyoneStarted
 		if a := d.agents[q.agent]; !told && a != nil && !d.absent(now, a) {
-			if !k.blocked {
-				k.blocked = true
-				d.blocked = append(d.blocked, seekRef{k, k.serial})
-			}
+			d.block(k)
 			return
 		}
 	}
--- a/flow/gate.go
+++ b/flow/gate.go
@@ -262,7 +262,7 @@
 		switch {
 		case g.empty(now):
 			m.Reason = ReasonNotHeld
-		case g.server.young:
+		case g.server.young && now.Sub(g.started) < startSpan:
 			m.Reason = ReasonStarted
 		}
 		m.Zone = ZoneID(g.cfg.Zone)
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -190,6 +190,7 @@
 		d.excuse(now)
 	}
 	d.tickAt = now
+	d.lookForStart(now)
 	d.expireOffers(now)
 	d.expireReturns(now)
 	d.askRoster(now)
@@ -197,7 +198,6 @@
 	d.askWaiting(now)
 	d.announceNew(now)
 	d.concludeUnsure(now)
-	d.lookForStart(now)
 	for _, a := range d.agents {
 		d.attend(now, a)
 	}
--- a/flow/query.go
+++ b/flow/query.go
@@ -186,7 +186,7 @@
 			q.full.push(box)
 		}
 	}
-	for q.packets.len() > 0 && (messages == 0 || bytes < budget) {
+	for q.packets.len() > 0 && !d.startUndecided(now) && (messages == 0 || bytes < budget) {
 		if n := d.sendPacket(); n > 0 {
 			messages++
 			bytes += n + messageOverhead
@@ -216,10 +216,10 @@
 }
 
 // sendPacket sends a packet of a flow to an agent that needs it and returns its
-// length, 0 if the search has ended.
+// length, 0 if the search has ended or what the agent has not seen is not there.
 func (d *Director) sendPacket() int {
 	p := d.queries.packets.pop()
-	if p.ref.ends() {
+	if p.ref.ends() || d.everyoneStarted {
 		return 0
 	}
 	p.ref.k.question(p.agent).waits = false
@@ -267,6 +267,7 @@
 		}
 		if q := k.question(from); q != nil {
 			q.unsure = true
+			d.block(k)
 		}
 	}
 	switch f {
--- a/flow/roster.go
+++ b/flow/roster.go
@@ -86,7 +86,7 @@
 // time to report.
 func (d *Director) sure(now time.Time) bool {
 	up := now.Sub(d.started)
-	if up >= aloneAfter || d.everyoneStarted {
+	if up >= aloneAfter || d.everyoneStarted && d.othersNew {
 		return true
 	}
 	return up >= d.cfg.SureAfter && (d.rosterKnown || d.othersNew)
--- a/flow/started.go
+++ b/flow/started.go
@@ -6,11 +6,12 @@
 	// absentAfterStart is what absentAfter is when all other agents have just
 	// started: machines that got their power back together start within 0.3 s.
 	absentAfterStart = 400 * time.Millisecond
-	// startSpan is the time from a balancer's own start in which it looks whether
-	// the whole fleet has started with it.
+	// startSpan is the time from its own start in which a balancer looks whether the
+	// whole fleet has started with it, and in which an agent says that it has.
 	startSpan = 10 * time.Second
 	// meetTime is the least time that a balancer listens before it takes the agents
-	// that it hears for all.
+	// that the store names, and that it hears, for all. While the store has not
+	// answered it is DirectorConfig.SureAfter.
 	meetTime = 100 * time.Millisecond
 	// lookEvery is the time between two looks in the first moments.
 	lookEvery = 25 * time.Millisecond
@@ -25,7 +26,9 @@
 // flows to every agent took a link of 10 Mbit/s for 15 s, and resets came 4 to 10 s
 // after their searches began. A single agent's word would not do: its process may
 // have started anew beside a server that is a second old. Only if every agent that
-// is known says the same is it taken for a start of everything.
+// is known says the same is it taken for a start of everything. Whether it knows all
+// agents a balancer learns as after any start, but sooner if the other balancers have
+// just started too.
 func (d *Director) lookForStart(now time.Time) {
 	before := d.everyoneStarted
 	d.othersStarted, d.everyoneStarted = false, false
@@ -44,7 +47,11 @@
 		}
 	}
 	d.othersStarted = heard > missing
-	if !d.othersStarted || now.Sub(d.started) < meetTime {
+	least := d.cfg.SureAfter
+	if d.listed {
+		least = meetTime
+	}
+	if !d.othersStarted || now.Sub(d.started) < least {
 		return
 	}
 	for _, a := range d.agents {
@@ -55,3 +62,13 @@
 	d.everyoneStarted = true
 	d.fewer = d.fewer || !before
 }
+
+// startUndecided reports whether the next looks may yet find that everything has
+// just started. Packets that agents would need otherwise are not sent until then.
+func (d *Director) startUndecided(now time.Time) bool {
+	return d.othersStarted && !d.everyoneStarted && now.Sub(d.started) < d.cfg.SureAfter
+}
+
+// Listed notes that the store has named the agents that it knows, all of which were
+// introduced.
+func (d *Director) Listed() { d.listed = true }
--- a/internal/flowbalancer/balancer.go
+++ b/internal/flowbalancer/balancer.go
@@ -334,6 +334,7 @@
 				d.IntroduceBalancer(p.Addr)
 			}
 		}
+		d.Listed()
 		d.Tick(now)
 	})
 	out.Flush()
