--- a/flow/director.go
+++ b/flow/director.go
@@ -50,13 +50,13 @@
 
 // DirectorStats counts what a Director did. All but the gauges only grow.
 type DirectorStats struct {
-	Flows, Opening, Agents, Ready int // gauges
-	Offered, Taken                uint64
-	Refusals                      [Reasons]uint64 // by agents, or for want of their answer
-	Resets                        [Reasons]uint64 // sent to callers
-	Dropped                       [Reasons]uint64 // packets
-	Sought, Found                 uint64          // flows
-	Evicted                       uint64          // flows forgotten for want of use
+	Flows, Opening, Returning, Agents, Ready int // gauges
+	Offered, Taken                           uint64
+	Refusals                                 [Reasons]uint64 // by agents, or for want of their answer
+	Resets                                   [Reasons]uint64 // sent to callers
+	Dropped                                  [Reasons]uint64 // packets
+	Sought, Found                            uint64          // flows
+	Evicted                                  uint64          // flows forgotten for want of use
 }
 
 // agent is what a balancer knows about one agent.
@@ -298,6 +298,7 @@
 func (d *Director) Stats() DirectorStats {
 	s := d.stats
 	s.Flows, s.Opening, s.Agents = len(d.flows), d.queue.len()+d.queued.len(), len(d.agents)
+	s.Returning = d.returns.len() + d.waitingReturns.len()
 	for _, a := range d.agents {
 		if a.takesFlows() {
 			s.Ready++
--- a/flow/find.go
+++ b/flow/find.go
@@ -93,12 +93,25 @@
 		if a.ends() {
 			continue
 		}
-		k.again++
-		d.ask(k, d.unanswering(k))
+		if !k.waits() {
+			k.again++
+			d.ask(k, d.unanswering(k))
+		}
 		d.askLater(now, k)
 	}
 }
 
+// waits reports whether some agent has not been asked yet: its turn comes late on a
+// slow link, and asking the others again would only put it off.
+func (k *seek) waits() bool {
+	for i := range k.asked {
+		if k.asked[i].waits {
+			return true
+		}
+	}
+	return false
+}
+
 // unanswering returns the agents that were asked and have not answered.
 func (d *Director) unanswering(k *seek) []netip.AddrPort {
 	list := d.targets[:0]
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -141,6 +141,7 @@
 
 func (d *Director) removeAgent(now time.Time, a *agent, why string) {
 	delete(d.agents, a.addr)
+	delete(d.queries.boxes, a.addr)
 	d.fewer = true
 	d.retable(a.service)
 	d.trace.Agent(now, a.addr, a.service, a.state, why)
--- a/flow/returning.go
+++ b/flow/returning.go
@@ -103,6 +103,7 @@
 	e.agent = to.Addr
 	r.serial = d.nextSerial()
 	d.returns.push(returnDue{r, r.serial, now.Add(d.cfg.OpenTimeout)})
+	d.trace.Ended(now, r.key, r.reason, to.Addr, r.until.Sub(now))
 	d.send(to.Addr, Message{
 		Kind: Return, Key: r.key, Service: r.service, Priority: r.priority,
 		OnTime: max(0, r.onTime.Sub(now)), Wait: r.until.Sub(now),
--- a/flow/trace.go
+++ b/flow/trace.go
@@ -21,6 +21,9 @@
 	Reset(now time.Time, key Key, reason Reason)
 	// Sought: a flow that is not known is looked for at so many agents.
 	Sought(now time.Time, key Key, agents int, all bool)
+	// Ended: the flow is nowhere any more. Its caller is told when an agent has room
+	// for its next flow, after so long at most.
+	Ended(now time.Time, key Key, reason Reason, agent netip.AddrPort, atMost time.Duration)
 	// Found: an agent holds the flow that was looked for.
 	Found(now time.Time, key Key, agent netip.AddrPort, after time.Duration)
 	// Agent: what is believed about an agent has changed.
@@ -34,6 +37,7 @@
 func (noTracer) GaveUp(time.Time, ID, Route, Reason, int, time.Duration, bool)              {}
 func (noTracer) Reset(time.Time, Key, Reason)                                               {}
 func (noTracer) Sought(time.Time, Key, int, bool)                                           {}
+func (noTracer) Ended(time.Time, Key, Reason, netip.AddrPort, time.Duration)                {}
 func (noTracer) Found(time.Time, Key, netip.AddrPort, time.Duration)                        {}
 func (noTracer) Agent(time.Time, netip.AddrPort, ServiceID, ServerState, string)            {}
 
--- a/internal/flowbalancer/trace.go
+++ b/internal/flowbalancer/trace.go
@@ -56,6 +56,11 @@
 	t.log.Info("flow sought", node.FlowField(key), zap.Int("agents", agents), zap.Bool("all", all))
 }
 
+// Ended implements flow.Tracer.
+func (t *tracer) Ended(_ time.Time, key flow.Key, reason flow.Reason, agent netip.AddrPort, atMost time.Duration) {
+	t.log.Info("flow ended, caller waits for room", node.FlowField(key), zap.Stringer("reason", reason), zap.Stringer("agent", agent), zap.Duration("at_most", atMost))
+}
+
 // Found implements flow.Tracer.
 func (t *tracer) Found(_ time.Time, key flow.Key, agent netip.AddrPort, after time.Duration) {
 	t.log.Info("flow found", node.FlowField(key), zap.Stringer("agent", agent), zap.Duration("after", after))
@@ -76,6 +81,7 @@
 var (
 	descFlows    = prometheus.NewDesc("hemlock_flows", "flows remembered", nil, nil)
 	descOpening  = prometheus.NewDesc("hemlock_flows_opening", "flows being offered to agents", nil, nil)
+	descReturns  = prometheus.NewDesc("hemlock_callers_waiting", "callers of flows that have ended who are told when there is room for them", nil, nil)
 	descAgents   = prometheus.NewDesc("hemlock_agents", "agents known", nil, nil)
 	descReady    = prometheus.NewDesc("hemlock_agents_ready", "agents that take new flows", nil, nil)
 	descRevision = prometheus.NewDesc("hemlock_config_revision", "configuration in force", nil, nil)
@@ -115,6 +121,7 @@
 	}
 	gauge(descFlows, s.Flows)
 	gauge(descOpening, s.Opening)
+	gauge(descReturns, s.Returning)
 	gauge(descAgents, s.Agents)
 	gauge(descReady, s.Ready)
 	gauge(descRevision, int(revision))
