A reason that nothing uses any more goes

Cause: the bound of searches that it counted went with the pace of questions. Ruled out: keeping its number on the wire; all processes of a deployment are of one build and the reasons after it are new.

--- a/flow/returning.go
+++ b/flow/returning.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -22,9 +23,8 @@
 // room for its new flow.
 type returning struct {
 	key      Key
-	ack      uint32 // what the caller acknowledged last
-	reason   Reason // why the flow has ended
-	since    time.Time
+	ack      uint32    // what the caller acknowledged last
+	reason   Reason    // why the flow has ended
 	until    time.Time // when the caller is told in any case
 	onTime   time.Time // until when its request can be answered in time
 	tries    int
@@ -58,7 +58,7 @@
 // returningOf works out how long the caller of a flow that has ended may wait.
 func (d *Director) returningOf(now time.Time, e *entry, s *Segment, reason Reason) *returning {
 	r := take(&d.spare.returns)
-	*r = returning{key: s.Key, ack: s.Ack, reason: reason, since: now, until: now, onTime: now}
+	*r = returning{key: s.Key, ack: s.Ack, reason: reason, until: now, onTime: now}
 	var route Route
 	if d.routes != nil {
 		route, _ = d.routes.Lookup(s.Key.ServiceAddr())
@@ -85,15 +85,8 @@
 		d.tell(now, e)
 		return
 	}
-	tried := r.tried[:r.tries]
-	to, ok := v.ready.Pick(r.key.hash(), d.load, now, func(a netip.AddrPort) bool {
-		for _, t := range tried {
-			if t == a {
-				return true
-			}
-		}
-		return false
-	})
+	wasTried := func(a netip.AddrPort) bool { return slices.Contains(r.tried[:r.tries], a) }
+	to, ok := v.ready.Pick(r.key.hash(), d.load, now, wasTried)
 	if !ok {
 		d.tell(now, e)
 		return
--- a/flow/types.go
+++ b/flow/types.go
@@ -132,12 +132,11 @@
 	ReasonNotHeld         // the server holds no such flow
 	ReasonLost            // the server held the flow and has lost it
 	ReasonOverflow        // a bounded table is full
-	ReasonSearches        // too many flows are being looked for
 	ReasonReturn          // the flow has ended, and its caller is told as soon as there is room for it
 	ReasonStarted         // the server and its agent have just started
 )
 
-var reasons = [...]string{"none", "state", "service", "busy", "bounced", "silent", "timeout", "no_route", "no_agent", "not_held", "lost", "overflow", "searches", "return", "started"}
+var reasons = [...]string{"none", "state", "service", "busy", "bounced", "silent", "timeout", "no_route", "no_agent", "not_held", "lost", "overflow", "return", "started"}
 
 // String returns the reason's name.
 func (r Reason) String() string {
