--- a/flow/find_test.go
+++ b/flow/find_test.go
@@ -298,3 +298,32 @@
 		}
 	}
 }
+
+// Symptom: callers of dead flows wait for their deadlines for a minute.
+// Sequence: the server of an agent is gone, and its VM vanishes. One balancer notices
+// a moment before another, whose roster still names the agent as one that it hears.
+// Cause: that the other one hears it counted, not since when: an agent that had said
+// that its server holds nothing was taken for one that may hold flows now, behind a cut.
+func TestRosterOfTheSameSilenceHoldsNothingUp(t *testing.T) {
+	w := newWorld(t, 3)
+	w.pass(startSpan)
+	w.balancers[balancerA].IntroduceBalancer(balancerB)
+	w.balancers[balancerB].IntroduceBalancer(balancerA)
+	w.restartAgent(2)
+	w.gate(2).Checked(w.now, Check{Absent: true})
+	w.pass(time.Second)
+	gone := agentAddr(2)
+	w.cut = func(from, to netip.AddrPort) bool {
+		return from == gone && to == balancerA || from == balancerA && to == gone
+	}
+	w.pass(200 * time.Millisecond)
+	w.cut = func(from, to netip.AddrPort) bool { return from == gone || to == gone }
+	for i, wait := range []time.Duration{DefaultAgentSilence - 150*time.Millisecond, DefaultAgentForget, time.Second} {
+		w.pass(wait)
+		w.caller(uint16(100+i), listingPort).send(balancerA, Segment{Seq: 5, Ack: 77, HasAck: true, Data: 10})
+		w.pass(300 * time.Millisecond)
+	}
+	if len(w.resets) != 3 {
+		t.Errorf("%d of 3 lost flows reset", len(w.resets))
+	}
+}
--- a/flow/roster.go
+++ b/flow/roster.go
@@ -11,8 +11,9 @@
 
 const (
 	// rosterEntry is the length of one agent in a roster, in bytes: address,
-	// port, service, and whether the teller hears it.
+	// port, service, and how long ago the teller heard it, in units of rosterAge.
 	rosterEntry = 15
+	rosterAge   = 50 * time.Millisecond
 	// rosterPart is the number of agents in one message, so that it stays below
 	// the smallest MTU in use.
 	rosterPart = 75
@@ -131,22 +132,19 @@
 		var b []byte
 		n := min(len(heard), rosterPart)
 		for _, a := range heard[:n] {
-			b = a.appendRoster(b)
+			b = a.appendRoster(b, now)
 		}
 		heard = heard[n:]
 		d.send(to, m, b)
 	}
 }
 
-func (a *agent) appendRoster(b []byte) []byte {
+func (a *agent) appendRoster(b []byte, now time.Time) []byte {
 	ip := a.addr.Addr().As4()
 	b = append(b, ip[:]...)
 	b = binary.LittleEndian.AppendUint16(b, a.addr.Port())
 	b = binary.LittleEndian.AppendUint64(b, uint64(a.service))
-	if a.silent {
-		return append(b, 0)
-	}
-	return append(b, 1)
+	return append(b, byte(min(now.Sub(a.heard)/rosterAge, math.MaxUint8)))
 }
 
 // announceEvery is how long agents that were heard for the first time are
@@ -162,7 +160,7 @@
 	if len(d.news) == 0 {
 		d.newsAt = now.Add(announceEvery)
 	}
-	d.news = a.appendRoster(d.news)
+	d.news = a.appendRoster(d.news, now)
 	if len(d.news) >= rosterPart*rosterEntry {
 		d.newsAt = now
 	}
@@ -186,9 +184,12 @@
 		d.Introduce(now, addr, ServiceID(binary.LittleEndian.Uint64(roster[6:])), "")
 		a := d.agents[addr]
 		a.vouched = true
-		if roster[rosterEntry-1] == 1 {
-			// What it said here last may be old: others hear it.
-			a.empty = a.empty && !a.silent
+		heard := now.Add(-time.Duration(roster[rosterEntry-1]) * rosterAge)
+		if heard.After(a.heard.Add(2 * d.reportEvery())) {
+			// It was heard by others after it fell silent here, so what it said here
+			// last may be old. Of an agent that is gone others have heard no later
+			// than by one report, and by what the age is rounded by.
+			a.empty = false
 		}
 	}
 }
