--- a/flow/routes.go
+++ b/flow/routes.go
@@ -21,7 +21,7 @@
 	// of them are answered at a cold server. Flows that wait are taken for late from
 	// so long before their latency objective on. At 100 ms a request with an
 	// objective of 120 ms was late after 20 ms of waiting, before it had met a free
-	// slot; gain of 60 ms: 0.001 of a day's worth, eight runs each way, as much as
+	// slot; gain of 60 ms: 0.001 of a day's worth, four runs each way, less than
 	// single runs differ by.
 	serviceTime = 60 * time.Millisecond
 	// firstCopy and secondCopy are when a caller repeats a first packet.
