Trials get ports that the kernel gives to nobody else

Cause: the harness looked for a free UDP port on all addresses, closed it and handed the number to a balancer. TestCloseEndsEverything tried up to ten times for the same reason.

Change: a loopback network, which one trial holds alone, brings 32 ports below 32768, where the kernel begins to give ports away. Harness and test take theirs from it; nothing is tried again.

Ruled out: an own loopback address. Balancers listen on all addresses, since callers use many service addresses.

--- a/internal/balancer/lifecycle_test.go
+++ b/internal/balancer/lifecycle_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+	"github.com/hemlockscale/hemlockscale/internal/standin/loopback"
 	"github.com/hemlockscale/hemlockscale/internal/store"
 )
 
@@ -26,14 +27,22 @@
 		t.Fatal(err)
 	}
 	defer client.Close()
+	network, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer network.Release()
 	for _, run := range []bool{false, true} {
-		b := newBalancer(t, Config{
+		b, err := New(Config{
 			Public:   netip.MustParseAddrPort("127.0.0.1:0"),
-			Internal: netip.MustParseAddrPort("127.0.0.1:0"),
+			Internal: netip.AddrPortFrom(network.Addr(1, 0), network.Port(0)),
 			Zone:     "zone-a",
 			Keys:     ring,
 			Store:    client,
-		})
+		}, zap.NewNop(), prometheus.NewRegistry())
+		if err != nil {
+			t.Fatal(err)
+		}
 		done := make(chan error, 1)
 		if run {
 			go func() { done <- b.Run() }()
@@ -46,19 +55,3 @@
 		}
 	}
 }
-
-// newBalancer tries several ports: the one above the port that the kernel gave
-// is needed as well, and another process may have it.
-func newBalancer(t *testing.T, cfg Config) *Balancer {
-	t.Helper()
-	const tries = 10
-	for range tries {
-		b, err := New(cfg, zap.NewNop(), prometheus.NewRegistry())
-		if err == nil {
-			return b
-		}
-		t.Log(err)
-	}
-	t.Fatal("no two free ports in a row")
-	return nil
-}
--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -3,6 +3,7 @@
 package loopback
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
 	"os"
@@ -14,6 +15,12 @@
 	count = 200
 	// heldPort is the port of 127.net.0.1 that tells a network as taken.
 	heldPort = 7700
+	// firstPort is above the ports that programs of the trials listen on by
+	// default, and all that Port returns is below 32768, where Linux begins to
+	// give ports to sockets that ask for any.
+	firstPort = 20000
+	// portsEach is the number of ports of one network.
+	portsEach = 32
 )
 
 var drawn atomic.Uint32
@@ -51,5 +58,16 @@
 	return netip.AddrFrom4([4]byte{127, w.n, byte(kind), byte(i + 1)})
 }
 
+// Port returns the i-th port, counted from 0 to portsEach-1, for a socket that
+// listens on all addresses of the machine. A port that was free when somebody
+// looked may be taken a moment later by any socket that asks for one; these are
+// given to no socket that does not name them, and to no other trial.
+func (w *Network) Port(i int) uint16 {
+	if i < 0 || i >= portsEach {
+		panic(fmt.Sprintf("loopback: port %d of %d; raise portsEach", i, portsEach))
+	}
+	return firstPort + uint16(w.n)*portsEach + uint16(i)
+}
+
 // Release gives the network back.
 func (w *Network) Release() { w.ln.Close() }
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -201,14 +200,10 @@
 func (f *Fleet) StartBalancer(i int) *Balancer {
 	f.T.Helper()
 	b := &Balancer{
+		Port:     f.net.Port(i),
 		Internal: netip.AddrPortFrom(f.addr(1, i), internalPort),
 		Admin:    netip.AddrPortFrom(f.addr(1, i), adminPort).String(),
 	}
-	if i < len(f.Balancers) {
-		b.Port = f.Balancers[i].Port
-	} else {
-		b.Port = freePort(f.T)
-	}
 	b.env = map[string]string{
 		"HEMLOCK_BALANCER_PUBLIC":    fmt.Sprintf("0.0.0.0:%d", b.Port),
 		"HEMLOCK_BALANCER_INTERNAL":  b.Internal.String(),
@@ -399,12 +394,3 @@
 	defer resp.Body.Close()
 	return s, json.NewDecoder(resp.Body).Decode(&s)
 }
-
-func freePort(t testing.TB) uint16 {
-	c, err := net.ListenUDP("udp4", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	return uint16(c.LocalAddr().(*net.UDPAddr).Port)
-}
