An agent that answers no question is silent after half a second, at any size

Cause: a search for a flow that nobody holds waited for an agent that had gone until three of its reports were missing. Reports come the more seldom the more agents there are, so that a balancer's bytes stay bounded: 0.75 s with 20 agents, 2.6 s with 65, 5.7 s with 285. In that time no caller of a dead flow was told.

Change: a balancer counts the questions that it sent to an agent since it heard it last. Three unanswered ones and 0.5 s since the first make it silent, whatever the period of reports; one that held no flow need not be waited for then. No message more is sent. Agents that hold flows are waited for as before.

Test: TestSilenceIsNoticedInASecondAtAnySize, failed before with 150 agents.

--- a/flow/director.go
+++ b/flow/director.go
@@ -74,6 +74,8 @@
 	young       bool      // it and its server had just started when they first met
 	silentAt    time.Time // when it was left out
 	absent      bool      // need not answer searches, as of the last look
+	asked       int       // questions of searches since it was heard last
+	askedAt     time.Time // the first of them
 	helloAt     time.Time // when it is greeted next
 }
 
--- a/flow/find.go
+++ b/flow/find.go
@@ -138,7 +138,7 @@
 			q = &k.asked[len(k.asked)-1]
 		}
 		if atOnce {
-			d.send(addr, Message{Kind: Seek}, k.packet)
+			d.question(addr, Message{Kind: Seek}, k.packet)
 			continue
 		}
 		q.waits = true
@@ -149,6 +149,14 @@
 	}
 }
 
+// question sends a message that an agent has to answer.
+func (d *Director) question(to netip.AddrPort, m Message, packet []byte) {
+	if a := d.agents[to]; a != nil {
+		a.noteQuestion(d.now)
+	}
+	d.send(to, m, packet)
+}
+
 // notAsked returns the agents that a sought flow was not looked for at.
 func (d *Director) notAsked(k *seek) []netip.AddrPort {
 	list := d.targets[:0]
--- a/flow/find_test.go
+++ b/flow/find_test.go
@@ -369,3 +369,24 @@
 	}
 	t.Error("no flow was opened at the new server")
 }
+
+// Symptom: in a fleet of hundreds callers of dead flows are told six seconds after an
+// agent has vanished, all at once, where a small fleet takes less than one.
+// Sequence: an agent whose server held nothing vanishes without a farewell; a flow that
+// nobody holds comes by.
+// Cause: the agent was waited for until three reports were missing, and reports come
+// the more seldom the more agents there are.
+func TestSilenceIsNoticedInASecondAtAnySize(t *testing.T) {
+	for _, agents := range []int{3, 150} {
+		w := newWorld(t, agents)
+		w.restartAgent(2)
+		w.gate(2).Checked(w.now, Check{Absent: true})
+		w.pass(startSpan)
+		w.cut = func(from, to netip.AddrPort) bool { return from == agentAddr(2) || to == agentAddr(2) }
+		w.caller(1, listingPort).send(balancerA, Segment{Seq: 5, Ack: 77, HasAck: true, Data: 10})
+		w.pass(time.Second)
+		if len(w.resets) != 1 {
+			t.Errorf("%d agents: %d resets, want 1", agents, len(w.resets))
+		}
+	}
+}
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -98,6 +98,7 @@
 	before := *a
 	delete(d.missing, from)
 	a.heard = now
+	a.asked = 0
 	d.heardAny = true
 	a.silent = a.silent && !a.answers(now, m)
 	a.empty = m.State == ServerGone || m.State != ServerReady && (a.empty || m.Kind == Report && m.Reason == ReasonNotHeld)
@@ -208,12 +209,35 @@
 	}
 }
 
+// unansweredAfter is the time after which an agent that has answered none of
+// maxAsked questions counts as silent: six times the time between two questions, and
+// above the pauses of a process on a busy VM.
+const unansweredAfter = 500 * time.Millisecond
+
+// noteQuestion counts a question that the agent has to answer.
+func (a *agent) noteQuestion(now time.Time) {
+	if a.asked == 0 {
+		a.askedAt = now
+	}
+	a.asked++
+}
+
+// unanswering reports whether an agent leaves questions unanswered. Reports come the
+// more seldom the more agents there are, so that a balancer's bytes stay bounded; with
+// 285 agents three of them are missing after 5.7 s only, in which the callers of all
+// flows that an agent which has gone is asked for are told nothing. Where an answer is
+// waited for its lack shows sooner, at any size of the fleet and without a message more.
+func (a *agent) unanswering(now time.Time) bool {
+	return a.asked >= maxAsked && now.Sub(a.askedAt) >= unansweredAfter
+}
+
 // excuse forgives the agents their silence while this process stood still.
 func (d *Director) excuse(now time.Time) {
 	for _, a := range d.agents {
 		if !a.heard.IsZero() {
 			a.heard = now
 		}
+		a.asked = 0
 		a.helloAt = now
 	}
 }
@@ -228,9 +252,15 @@
 		}
 		d.send(a.addr, hello, nil)
 	}
+	d.judgeSilence(now, a)
 	absent := d.absent(now, a)
 	d.fewer = d.fewer || absent && !a.absent
 	a.absent = absent
+}
+
+// judgeSilence leaves an agent out of new flows, or forgets it, when it has been
+// silent for too long.
+func (d *Director) judgeSilence(now time.Time, a *agent) {
 	if a.heard.IsZero() {
 		return
 	}
@@ -242,7 +272,7 @@
 		}
 		return
 	}
-	if silence >= max(d.cfg.AgentSilence, silentReports*d.reportEvery()) {
+	if silence >= max(d.cfg.AgentSilence, silentReports*d.reportEvery()) || a.unanswering(now) {
 		d.setSilent(now, a.addr)
 	}
 }
--- a/flow/query.go
+++ b/flow/query.go
@@ -195,7 +195,7 @@
 	if len(v.flows) == 0 {
 		return 0
 	}
-	d.send(box.agent, Message{Kind: Query}, b[start:])
+	d.question(box.agent, Message{Kind: Query}, b[start:])
 	return len(b) - start
 }
 
@@ -207,7 +207,7 @@
 		return 0
 	}
 	p.ref.k.question(p.agent).waits = false
-	d.send(p.agent, Message{Kind: Seek}, p.ref.k.packet)
+	d.question(p.agent, Message{Kind: Seek}, p.ref.k.packet)
 	return len(p.ref.k.packet)
 }
 
