Keys: a restarted process takes its lease over; agents read keys of balancers only

Cause: each start cost a new lease and a new key, also after a loss of power everywhere, and each process listed the keys of all every 5 s: bytes that grow with the square of the fleet.

Change: keys lie by role. A process looks for its own key first (a tenth of a call) and renews the lease that an earlier process at its address left; agents list balancers only; lists come at the start, after 1 s and 4 s more, then every 15 s, below the time in which two that were cut off forget each other.

Reverted on the way: reading others before the own key is written.

--- a/internal/node/introduce.go
+++ b/internal/node/introduce.go
@@ -42,7 +42,10 @@
 // PeersPrefix begins the keys of all processes.
 const PeersPrefix = "hemlock/nodes/"
 
-func (p *Peer) key() string { return PeersPrefix + p.Addr.String() }
+// prefixOf begins the keys of all processes of a role.
+func prefixOf(r Role) string { return PeersPrefix + string(r) + "/" }
+
+func (p *Peer) key() string { return prefixOf(p.Role) + p.Addr.String() }
 
 // PeerError reports a key that no process has written.
 type PeerError struct {
@@ -82,10 +85,18 @@
 	entryLease = 45 * time.Second
 	// renewEvery leaves a lease two more tries before it ends.
 	renewEvery = 14 * time.Second
-	// listEvery is the time between two looks for processes that did not
-	// introduce themselves by a message. Such a read may be stale and costs a
-	// tenth of a call.
-	listEvery = 5 * time.Second
+	// listEvery is the time between two looks for processes that did not introduce
+	// themselves by a message: below the time after which two that were cut off from
+	// each other have forgotten each other. Such a read may be stale and costs a tenth
+	// of a call. A process that starts is known to the others by its own messages.
+	listEvery = 15 * time.Second
+	// listSoon and listAgain are when a process that has just started looks again: the
+	// first list lacks those that started together with it.
+	listSoon  = time.Second
+	listAgain = 4 * time.Second
+	// ownKeyAfter is how long the own key may be missing from lists after it was
+	// written: they may be seconds old.
+	ownKeyAfter = 5 * time.Second
 	// retryBase and retryMax space the repeats of failed calls. Keys have to be back
 	// within two seconds of the store's return. Refused calls are priced like others:
 	// at 1 s, and 150 ms at a start, an outage for some of 82 processes took a third
@@ -109,21 +120,23 @@
 	Wrong prometheus.Counter // keys that no process has written, each time they are read
 	Log   *zap.Logger
 
-	mu       sync.Mutex // guards lease
-	lease    store.LeaseID
-	renewAt  time.Time
-	readOnce bool // a list was read that can't be stale
-	failing  bool
-	left     atomic.Bool // the key was taken away for good
+	mu        sync.Mutex // guards lease
+	lease     store.LeaseID
+	renewAt   time.Time
+	enteredAt time.Time // when the own key was written
+	lists     int       // that were read
+	listAt    time.Time // when the next one is due
+	failing   bool
+	left      atomic.Bool // the key was taken away for good
 }
 
 // Run introduces the process until ctx ends.
 func (i *Introducer) Run(ctx context.Context) error {
 	backoff := store.Backoff{Base: retryBase, Max: retryMax}
 	for {
-		wait := listEvery
 		err := i.step(ctx)
 		i.noteStore(err)
+		wait := time.Until(i.next())
 		if err == nil {
 			backoff.Reset()
 		} else {
@@ -136,6 +149,14 @@
 	}
 }
 
+// next returns when the next call is due.
+func (i *Introducer) next() time.Time {
+	if i.renewAt.Before(i.listAt) {
+		return i.renewAt
+	}
+	return i.listAt
+}
+
 // leaveTimeout bounds the call that takes the own key away.
 const leaveTimeout = 300 * time.Millisecond
 
@@ -178,23 +199,34 @@
 	}
 }
 
-// step makes the calls that are due. The own key is written before others are
+// step makes the calls that are due. The own key is in the store before others are
 // read: of two processes that start at once, the later one then sees the other.
 func (i *Introducer) step(ctx context.Context) error {
 	if i.left.Load() {
+		i.renewAt, i.listAt = time.Now().Add(listEvery), time.Now().Add(listEvery)
 		return nil
 	}
-	if i.leaseID() == "" {
-		if err := i.enter(ctx); err != nil {
-			return err
-		}
-	}
-	if err := i.renew(ctx); err != nil {
+	if err := i.keepLease(ctx); err != nil {
 		return err
 	}
+	if time.Now().Before(i.listAt) {
+		return nil
+	}
 	return i.list(ctx)
 }
 
+// keepLease sees to the lease of the own key.
+func (i *Introducer) keepLease(ctx context.Context) error {
+	if i.leaseID() != "" {
+		return i.renew(ctx)
+	}
+	own, err := i.own(ctx)
+	if err != nil {
+		return err
+	}
+	return i.begin(ctx, own)
+}
+
 // enter writes the own key under a new lease.
 func (i *Introducer) enter(ctx context.Context) error {
 	lease, err := i.Store.Grant(ctx, entryLease)
@@ -209,7 +241,8 @@
 		return err
 	}
 	i.setLease(lease)
-	i.renewAt = time.Now().Add(renewEvery)
+	i.enteredAt = time.Now()
+	i.renewAt = i.enteredAt.Add(renewEvery)
 	i.Log.Info("introduced", zap.String("key", i.Self.key()), zap.String("lease", string(lease)))
 	return nil
 }
@@ -233,13 +266,46 @@
 	return nil
 }
 
-// list reads the keys of all processes. The first read is never stale.
+// list reads the keys of others, and looks whether the own one is there.
 func (i *Introducer) list(ctx context.Context) error {
-	items, err := i.Store.List(ctx, PeersPrefix, i.readOnce)
+	// A balancer's first list is not stale: the agents that it names are taken for all
+	// that there are when everything has just started.
+	stale := i.lists > 0 || i.Self.Role == RoleAgent
+	items, err := i.Store.List(ctx, i.prefix(), stale)
 	if err != nil {
 		return err
 	}
-	own := false
+	i.Found(i.read(items))
+	if err := i.keepOwn(ctx); err != nil {
+		return err
+	}
+	i.lists++
+	i.listAt = time.Now().Add(i.untilNextList())
+	return nil
+}
+
+// prefix begins the keys of the processes that this one deals with: balancers need to
+// know all, agents only balancers.
+func (i *Introducer) prefix() string {
+	if i.Self.Role == RoleAgent {
+		return prefixOf(RoleBalancer)
+	}
+	return PeersPrefix
+}
+
+// untilNextList returns the time to the next look for others.
+func (i *Introducer) untilNextList() time.Duration {
+	switch i.lists {
+	case 1:
+		return listSoon
+	case 2:
+		return listAgain
+	}
+	return listEvery
+}
+
+// read returns the other processes that items name.
+func (i *Introducer) read(items []store.Item) []Peer {
 	peers := make([]Peer, 0, len(items))
 	var wrong error
 	for _, item := range items {
@@ -249,26 +315,59 @@
 			wrong = err
 			continue
 		}
-		if p.Addr == i.Self.Addr {
-			own = true
-			continue
+		if p.Addr != i.Self.Addr {
+			peers = append(peers, p)
 		}
-		peers = append(peers, p)
 	}
 	if wrong != nil {
 		i.Log.Warn("key of no process", zap.Error(wrong), zap.Int("processes", len(peers)))
 	}
-	i.Found(peers)
-	i.readOnce = true
-	if own {
+	return peers
+}
+
+// own returns the own key as it may have been seconds ago, nil if it was not there. The
+// read costs a tenth of a call.
+func (i *Introducer) own(ctx context.Context) (*store.Item, error) {
+	items, err := i.Store.List(ctx, i.Self.key(), true)
+	if err != nil {
+		return nil, err
+	}
+	for n := range items {
+		if p, err := parsePeer(items[n].Key, items[n].Data); err == nil && p == i.Self {
+			return &items[n], nil
+		}
+	}
+	return nil, nil
+}
+
+// begin takes over the lease of the own key if an earlier process at this address left
+// it there, and writes the key anew if not. A renewal costs a twentieth of the two
+// calls for a new lease and key; after a loss of power everywhere every process of the
+// fleet makes them.
+func (i *Introducer) begin(ctx context.Context, own *store.Item) error {
+	if own == nil || own.Lease == "" {
+		return i.enter(ctx)
+	}
+	i.setLease(own.Lease)
+	i.renewAt = time.Time{}
+	return i.renew(ctx)
+}
+
+// keepOwn writes the own key anew if it is gone: the store may take keys away without
+// ending their leases. A key that was written lately need not be in a stale read.
+func (i *Introducer) keepOwn(ctx context.Context) error {
+	if time.Since(i.enteredAt) < ownKeyAfter {
 		return nil
 	}
+	own, err := i.own(ctx)
+	if err != nil || own != nil {
+		return err
+	}
 	return i.enterIfMissing(ctx)
 }
 
-// enterIfMissing writes the own key again if it is not in the store: the store
-// may take keys away without ending their lease. The list that lacks it may be
-// from before it was written, so the key itself decides.
+// enterIfMissing writes the own key again if it is not in the store. The read that
+// lacks it may be from before it was written, so one that is not stale decides.
 func (i *Introducer) enterIfMissing(ctx context.Context) error {
 	_, err := i.Store.Get(ctx, i.Self.key())
 	var missing *store.NotFoundError
