What balancers tell each other of agents is taken for what it is, and for its age

News of a few new agents counted as the roster of a balancer that knows all. So no roster was asked for, nobody heard that the others had just started too, and nothing was certain before 0.6 s, though all agents had said within 0.1 s that they had just started. 2. A roster that named an agent brought it back after its farewell, also if the teller had heard it before. The word went round until the agent was forgotten, and every search waited for it, for 0.5 s at least. 3. Rosters did not tell that an agent's server had held nothing: at a balancer that started later such an agent was waited for for 6 s.

Change: news have a message kind of their own; rosters carry whether the server held a flow, beside the age; an agent that is gone comes back only if it was heard after it said so. A balancer that was told a roster is sure as soon as all agents say that everything has just started.

Tests, all failed before: TestNewsOfAgentsIsNoRoster, TestLateBalancerSeesStartOfEverything, TestRosterFromBeforeFarewellBringsNobodyBack, TestVanishedEmptyAgentThatOthersNameHoldsNothingUp.

--- a/flow/director.go
+++ b/flow/director.go
@@ -68,6 +68,7 @@
 	local       bool
 	introduced  time.Time
 	vouched     bool      // introduced by a balancer that had heard it
+	toldAt      time.Time // when other balancers have heard it, as far as they told
 	heard       time.Time // zero: introduced, never heard
 	silent      bool      // left out of new flows until it answers again
 	empty       bool      // its server held no flow and got none when it was heard last
--- a/flow/find.go
+++ b/flow/find.go
@@ -334,14 +334,19 @@
 // absent reports whether an agent need not answer: it has fallen silent, and its
 // server held no flow before; or it was introduced and never heard since, long
 // enough for it to have answered: a key of the store outlives its process. One
-// that another balancer has heard may stand still for a while.
+// that another balancer has heard may stand still for a while, with its server's flows.
 func (d *Director) absent(now time.Time, a *agent) bool {
-	if a.gone() || a.silent && a.empty {
+	switch {
+	case a.gone() || a.silent && a.empty:
+		return true
+	case !a.heard.IsZero():
+		return false
+	case a.empty && a.unanswering(now):
 		return true
 	}
 	limit := absentAfter
-	if a.vouched {
+	if a.vouched && !a.empty {
 		limit = d.cfg.AgentForget
 	}
-	return a.heard.IsZero() && now.Sub(a.introduced) >= limit
+	return now.Sub(a.introduced) >= limit
 }
--- a/flow/message.go
+++ b/flow/message.go
@@ -55,11 +55,14 @@
 	// Configured tells another balancer of the configuration in force at the sender,
 	// and of the latest read of the store.
 	Configured
+	// Announce tells another balancer of agents that were heard for the first time;
+	// they follow as in Roster.
+	Announce
 
-	lastKind = Configured
+	lastKind = Announce
 )
 
-var kinds = [...]string{"invalid", "open", "pass", "seek", "taken", "refused", "queued", "held", "not_held", "hello", "report", "ask_roster", "roster", "balancers", "query", "query_answer", "return", "room", "configured"}
+var kinds = [...]string{"invalid", "open", "pass", "seek", "taken", "refused", "queued", "held", "not_held", "hello", "report", "ask_roster", "roster", "balancers", "query", "query_answer", "return", "room", "configured", "announce"}
 
 // String returns the kind's name.
 func (k MessageKind) String() string {
@@ -70,7 +73,9 @@
 }
 
 // BetweenBalancers reports whether k is sent by balancers to balancers.
-func (k MessageKind) BetweenBalancers() bool { return k == AskRoster || k == Roster || k == Configured }
+func (k MessageKind) BetweenBalancers() bool {
+	return k == AskRoster || k == Roster || k == Configured || k == Announce
+}
 
 // CarriesPacket reports whether what follows a message of this kind, if anything
 // does, is a packet of a flow.
--- a/flow/roster.go
+++ b/flow/roster.go
@@ -9,10 +9,17 @@
 )
 
 const (
-	// rosterEntry is the length of one agent in a roster, in bytes: address,
-	// port, service, and how long ago the teller heard it, in units of rosterAge.
-	rosterEntry = 15
-	rosterAge   = 50 * time.Millisecond
+	// rosterEntry is the length of one agent in a roster, in bytes: address, port,
+	// service, and how long ago the teller heard it, in units of rosterAge up to
+	// rosterMaxAge, with rosterEmpty added if its server held no flow then. An agent
+	// that is not heard for as long is forgotten.
+	rosterEntry  = 15
+	rosterAge    = 50 * time.Millisecond
+	rosterMaxAge = 0x7f
+	rosterEmpty  = 0x80
+	// lateNews is how much later than it was a roster may say that an agent was heard:
+	// by what ages are rounded by, what news are collected for, and the way.
+	lateNews = rosterAge + announceEvery + 20*time.Millisecond
 	// rosterPart is the number of agents in one message, so that it stays below
 	// the smallest MTU in use.
 	rosterPart = 75
@@ -103,15 +110,13 @@
 }
 
 // sure reports whether this balancer knows all agents that may hold a flow: one
-// that was there before has told its agents; or those that answered have just
-// started like this one, as after a loss of power, and the agents have had the
-// time to report.
+// that was there before has told its agents, or those that answered have just
+// started like this one; and the agents have had the time to report, or all say that
+// everything has just started, as after a loss of power.
 func (d *Director) sure(now time.Time) bool {
 	up := now.Sub(d.started)
-	if up >= aloneAfter || d.everyoneStarted && d.othersNew {
-		return true
-	}
-	return up >= d.cfg.SureAfter && (d.rosterKnown || d.othersNew)
+	told := d.rosterKnown || d.othersNew
+	return up >= aloneAfter || told && (d.everyoneStarted || up >= d.cfg.SureAfter)
 }
 
 // FromBalancer takes a message of another balancer, and what follows it.
@@ -126,6 +131,9 @@
 		return
 	case Configured:
 		return
+	case Announce:
+		d.takeRoster(now, roster)
+		return
 	}
 	d.takeRoster(now, roster)
 	defer d.onConfirmed(now, m)
@@ -168,7 +176,11 @@
 	b = append(b, ip[:]...)
 	b = binary.LittleEndian.AppendUint16(b, a.addr.Port())
 	b = binary.LittleEndian.AppendUint64(b, uint64(a.service))
-	return append(b, byte(min(now.Sub(a.heard)/rosterAge, math.MaxUint8)))
+	last := byte(min(now.Sub(a.heard)/rosterAge, rosterMaxAge))
+	if a.empty {
+		last |= rosterEmpty
+	}
+	return append(b, last)
 }
 
 // announceEvery is how long agents that were heard for the first time are
@@ -203,7 +215,7 @@
 		return
 	}
 	for _, addr := range d.SomeBalancers(now, announceTo) {
-		d.send(addr, Message{Kind: Roster}, d.news)
+		d.send(addr, Message{Kind: Announce}, d.news)
 	}
 	d.news = nil
 }
@@ -215,18 +227,26 @@
 		d.Introduce(now, addr, ServiceID(binary.LittleEndian.Uint64(roster[6:])), "")
 		a := d.agents[addr]
 		a.vouched = true
-		if a.gone() {
+		last := roster[rosterEntry-1]
+		heard := now.Add(-time.Duration(last&rosterMaxAge) * rosterAge)
+		if a.gone() && heard.After(a.heard.Add(lateNews)) {
 			// Others hear a new agent there, beside a new server. The flow that is
 			// looked for may be at it.
 			a.state = ServerUnknown
 			d.retable(a.service)
 		}
-		heard := now.Add(-time.Duration(roster[rosterEntry-1]) * rosterAge)
-		if heard.After(a.heard.Add(2 * d.reportEvery())) {
-			// It was heard by others after it fell silent here, so what it said here
-			// last may be old. Of an agent that is gone others have heard no later
-			// than by one report, and by what the age is rounded by.
-			a.empty = false
-		}
+		a.toldOf(heard, last&rosterEmpty != 0, 2*d.reportEvery())
+	}
+}
+
+// toldOf takes another balancer's word that it heard the agent at the given time, and
+// whether its server held no flow then. It counts if that is later than what this
+// balancer knows by more than slack: of an agent that is gone others have heard no later
+// than by one report, and by what ages are rounded by.
+func (a *agent) toldOf(heard time.Time, empty bool, slack time.Duration) {
+	if !heard.After(a.toldAt) || !a.heard.IsZero() && !heard.After(a.heard.Add(slack)) {
+		return
 	}
+	a.toldAt = heard
+	a.empty = empty
 }
--- a/flow/started_test.go
+++ b/flow/started_test.go
@@ -203,3 +203,112 @@
 		t.Error("reset while the agent stands still")
 	}
 }
+
+// Symptom: after a loss of power everywhere the callers of dead flows are told half a
+// second later than could be; or a balancer that starts takes the few agents that it
+// was told of for all, and resets a flow that another one's server holds.
+// Sequence: two balancers start together; one hears agents for the first time and tells
+// the other before that one has asked for a roster.
+// Cause: news of a few agents counted as the roster of a balancer that knows all.
+func TestNewsOfAgentsIsNoRoster(t *testing.T) {
+	w := newWorld(t, 3)
+	a, b := w.addBalancer(balancerA), w.addBalancer(balancerB)
+	a.IntroduceBalancer(balancerB)
+	for n := range len(w.agents) {
+		w.restartAgent(n)
+		a.Introduce(w.now, agentAddr(n), listing, "a")
+	}
+	for range 2 {
+		a.Tick(w.now)
+		w.settle()
+		w.now = w.now.Add(announceEvery)
+	}
+	if len(b.agents) != len(w.agents) {
+		t.Fatalf("%d agents known, want all of which it was told", len(b.agents))
+	}
+	b.Tick(w.now)
+	asked := false
+	for _, e := range clone(b.Effects()) {
+		asked = asked || e.Message.Kind == AskRoster
+	}
+	if !asked {
+		t.Error("no roster is asked for")
+	}
+}
+
+// Symptom: after a loss of power everywhere a balancer that starts a little later than
+// the others tells the callers of dead flows half a second late.
+// Sequence: the others have found out that everything has just started and answer the
+// late one's question with their rosters.
+// Cause: only a balancer whose others did not know yet was sure before 0.6 s.
+func TestLateBalancerSeesStartOfEverything(t *testing.T) {
+	w := newWorld(t, 20)
+	c := w.caller(1, listingPort)
+	c.open(balancerA, 0)
+	c.request(balancerA)
+	w.startAll(3)
+	w.pass(300 * time.Millisecond)
+	d := w.addBalancer(balancerB)
+	d.IntroduceBalancer(balancerA)
+	for n := range len(w.agents) {
+		d.Introduce(w.now, agentAddr(n), listing, "a")
+	}
+	d.Listed()
+	c.request(balancerB)
+	w.pass(300 * time.Millisecond)
+	if len(w.resets) != 1 {
+		t.Errorf("%d resets, want 1", len(w.resets))
+	}
+}
+
+// Symptom: callers of dead flows wait for six seconds at a balancer that starts shortly
+// after an agent has vanished.
+// Sequence: the agent's server held nothing; it vanishes without a farewell; a balancer
+// starts, and another one names the agent to it as heard a moment ago.
+// Cause: an agent that others have heard was waited for whatever its server held.
+func TestVanishedEmptyAgentThatOthersNameHoldsNothingUp(t *testing.T) {
+	w := newWorld(t, 3)
+	w.restartAgent(2)
+	w.gate(2).Checked(w.now, Check{Absent: true})
+	w.pass(time.Second)
+	delete(w.agents, agentAddr(2))
+	d := w.addBalancer(balancerB)
+	d.IntroduceBalancer(balancerA)
+	for n := range 2 {
+		d.Introduce(w.now, agentAddr(n), listing, "a")
+	}
+	w.pass(100 * time.Millisecond)
+	if d.agents[agentAddr(2)] == nil {
+		t.Fatal("the vanished agent was not named")
+	}
+	w.caller(1, listingPort).send(balancerB, Segment{Seq: 5, Ack: 77, HasAck: true, Data: 10})
+	w.pass(time.Second)
+	if len(w.resets) != 1 {
+		t.Errorf("%d resets, want 1", len(w.resets))
+	}
+}
+
+// Symptom: after an agent has said farewell and ended, callers of dead flows wait for
+// half a second and more at every balancer.
+// Sequence: one balancer misses the farewell and goes on naming the agent; the others ask
+// it for its roster before they tell a caller that its flow has ended.
+// Cause: any roster that named an agent which had said that its server is gone brought
+// it back, also one that had heard it before it said so.
+func TestRosterFromBeforeFarewellBringsNobodyBack(t *testing.T) {
+	w := newWorld(t, 3)
+	w.balancers[balancerA].IntroduceBalancer(balancerB)
+	w.balancers[balancerB].IntroduceBalancer(balancerA)
+	w.pass(2 * time.Second)
+	w.cut = func(from, to netip.AddrPort) bool { return from == agentAddr(2) && to == balancerA }
+	w.gate(2).Leave(w.now, w.server(2).instance, 0)
+	w.settle()
+	delete(w.agents, agentAddr(2))
+	w.now = w.now.Add(20 * time.Millisecond)
+	w.caller(1, listingPort).send(balancerB, Segment{Seq: 5, Ack: 77, HasAck: true, Data: 10})
+	w.now = w.now.Add(20 * time.Millisecond)
+	w.balancers[balancerB].Tick(w.now)
+	w.settle()
+	if len(w.resets) != 1 {
+		t.Errorf("%d resets, want 1", len(w.resets))
+	}
+}
