Reads of the store are numbered; being told does not make one younger

Nobody read the store: an age that is told lacks the time that the message is under way. Told round and round by balancers and agents on links of 10 Mbit/s, the last read before the watcher ended seemed to be new for as long as nobody made another. The code before had the same fault in what agents carry; it was hidden by a watch in every balancer.

Change: a read has a number, one more than that of the latest read that its maker knew of; only a higher number is a later read, and its time is set once. Ages that agents carry decide nothing any more. A word without a number is not taken.

Ruled out: a lost change at the watcher (its log shows no call of the store), refused calls (none in the logs).

--- a/flow/message.go
+++ b/flow/message.go
@@ -53,7 +53,7 @@
 	// Room answers Return: the server has room for the caller's new flow.
 	Room
 	// Configured tells another balancer of the configuration in force at the sender,
-	// and of the latest read of the store.
+	// and of the latest read of the store, whose number follows.
 	Configured
 	// Announce tells another balancer of agents that were heard for the first time;
 	// they follow as in Roster.
--- a/internal/flowbalancer/configuration.go
+++ b/internal/flowbalancer/configuration.go
@@ -1,6 +1,7 @@
 package flowbalancer
 
 import (
+	"encoding/binary"
 	"net/http"
 	"net/netip"
 	"time"
@@ -18,7 +19,7 @@
 func (b *Balancer) propagate(out *node.Output) {
 	now := node.Now()
 	b.mu.Lock()
-	b.plan.HearOf(now, b.director.Seen(), b.director.ReadAt())
+	b.plan.HearOf(now, b.director.Seen())
 	b.director.Confirm(b.plan.ReadAt())
 	w, tell := b.plan.Tell(now)
 	var to []netip.AddrPort
@@ -43,14 +44,21 @@
 // word returns the message that tells another balancer w.
 func word(to netip.AddrPort, w propagation.Word, now time.Time) flow.Effect {
 	return flow.Effect{Kind: flow.SendMessage, To: to, Message: flow.Message{
-		Kind: flow.Configured, Revision: w.Revision, ReadAge: flow.AgeOf(now, w.ReadAt), Incarnation: w.Reader,
-	}}
+		Kind: flow.Configured, Revision: w.Revision, ReadAge: flow.AgeOf(now, w.Read.At), Incarnation: w.Read.Reader,
+	}, Packet: binary.LittleEndian.AppendUint64(nil, w.Read.Number)}
 }
 
+// numberSize is the length of a read's number, which follows the message, in bytes.
+const numberSize = 8
+
 // onWord takes what another balancer tells of the configuration, with b.mu held, and
-// adds the answer to out.
-func (b *Balancer) onWord(now time.Time, from netip.AddrPort, m *flow.Message, out *node.Output) {
-	w := propagation.Word{Revision: m.Revision, ReadAt: flow.ReadAt(now, m.ReadAge), Reader: m.Incarnation}
+// adds the answer to out. A message without a number is not one of this system.
+func (b *Balancer) onWord(now time.Time, from netip.AddrPort, m *flow.Message, number []byte, out *node.Output) {
+	if len(number) != numberSize {
+		return
+	}
+	read := propagation.ReadMark{Number: binary.LittleEndian.Uint64(number), At: flow.ReadAt(now, m.ReadAge), Reader: m.Incarnation}
+	w := propagation.Word{Revision: m.Revision, Read: read}
 	if answer, ok := b.plan.Hear(now, from, w); ok {
 		out.Add([]flow.Effect{word(from, answer, now)})
 	}
--- a/internal/flowbalancer/trace.go
+++ b/internal/flowbalancer/trace.go
@@ -142,7 +142,7 @@
 	c.b.mu.Lock()
 	s := c.b.director.Stats()
 	revision, age := uint64(0), -1.0
-	if at := c.b.director.ReadAt(); !at.IsZero() {
+	if at := c.b.plan.ReadAt(); !at.IsZero() {
 		age = node.Now().Sub(at).Seconds()
 	}
 	if r := c.b.director.Routes(); r != nil {
--- a/propagation/node.go
+++ b/propagation/node.go
@@ -29,9 +29,9 @@
 	// processes hear of a change with the next read only, up to a second later.
 	repeats     = 2
 	repeatAfter = 100 * time.Millisecond
-	// news is how much later than the latest known a read has to be to be told on:
-	// two processes that read at about the same time are one piece of news.
-	news = 200 * time.Millisecond
+	// maxNumber bounds the numbers of reads that are believed: one read a second would
+	// take longer than anybody's history to get there, a damaged message need not.
+	maxNumber = 1 << 48
 	// hearsay is how long a process waits for an answer of others before it takes the
 	// latest read that it knows for the latest there is.
 	hearsay = 60 * time.Millisecond
@@ -81,9 +81,19 @@
 
 // Word is what one process tells another.
 type Word struct {
-	Revision uint64    // of the value that the sender has in force; 0 if none
-	ReadAt   time.Time // when the store was last read by any process; zero if unknown
-	Reader   uint64    // identity of the watcher that read it; 0 if another process did
+	Revision uint64 // of the value that the sender has in force; 0 if none
+	Read     ReadMark
+}
+
+// ReadMark tells of a read of the store.
+type ReadMark struct {
+	// Number is one more than that of the latest read that its maker knew of, 0 for no
+	// read. Only a higher number is a later read. Times do not tell: the age that is
+	// told of a read lacks the time that the message is under way, and told round and
+	// round on full links a read seemed to be new for as long as nobody made another.
+	Number uint64
+	At     time.Time // when it was made, as far as known
+	Reader uint64    // identity of the watcher that made it; 0 if another process did
 }
 
 // Node is the state machine of one process.
@@ -101,11 +111,10 @@
 	fetching  bool
 	askAt     time.Time // when others may be asked who did not say that they have it
 
-	read    Word          // the latest read that was told by those who know who made it
-	readAt  time.Time     // the latest read that anybody spoke of
+	read    ReadMark      // the latest one known
 	bears   time.Duration // age of it at which this process reads
-	drawnAt time.Time     // of the read for which it was drawn
-	lowerAt time.Time     // latest read of a process whose identity goes before this one's
+	lowerAt time.Time     // when a watcher whose identity goes before this one's was heard of
+	number  uint64        // of the call under way
 	ownAt   time.Time     // latest read of this process
 	askedAt time.Time     // when others were asked for a later read than the one known; zero: not yet
 
@@ -131,7 +140,7 @@
 func (n *Node) Behind() bool { return n.revision == 0 || n.spoken > n.revision }
 
 // ReadAt returns when the store was last read by any process, as far as known.
-func (n *Node) ReadAt() time.Time { return n.readAt }
+func (n *Node) ReadAt() time.Time { return n.read.At }
 
 // Took notes that a value was put in force.
 func (n *Node) Took(now time.Time, revision uint64) {
@@ -148,27 +157,17 @@
 // Hear takes what another process tells. The process is to be told answer if ok is
 // true: it knows less than this one, since nothing reaches everybody.
 func (n *Node) Hear(now time.Time, from netip.AddrPort, w Word) (answer Word, ok bool) {
-	defer func() {
-		ok = n.readAt.Sub(w.ReadAt) >= Wait || n.revision > w.Revision
-		answer = n.word()
-	}()
 	n.hearOf(now, w.Revision)
 	if w.Revision == n.spoken && w.Revision > n.revision && len(n.sources) < maxSources {
 		n.sources = append(n.sources, from)
 	}
-	if w.Reader != 0 && w.Reader < n.self && w.ReadAt.After(n.lowerAt) {
-		n.lowerAt = w.ReadAt
-	}
-	n.hearRead(w)
-	return
+	n.hearRead(now, w.Read)
+	return n.word(), n.read.Number > w.Read.Number || n.revision > w.Revision
 }
 
 // HearOf takes what somebody tells who need not have the value: that a revision
-// exists, and when the store was last read.
-func (n *Node) HearOf(now time.Time, revision uint64, readAt time.Time) {
-	n.hearOf(now, revision)
-	n.hearAge(readAt)
-}
+// exists.
+func (n *Node) HearOf(now time.Time, revision uint64) { n.hearOf(now, revision) }
 
 func (n *Node) hearOf(now time.Time, revision uint64) {
 	if revision <= n.spoken || revision <= n.refuted && now.Sub(n.refutedAt) < refutedFor {
@@ -182,28 +181,26 @@
 	n.sources = n.sources[:0]
 }
 
-// hearRead takes a read. It is told on if it is news, or of about the same time as the
-// latest one by a watcher whose identity goes before: the other watcher has to hear of
-// it to stop.
-func (n *Node) hearRead(w Word) {
-	n.hearAge(w.ReadAt)
-	later := w.ReadAt.Sub(n.read.ReadAt)
-	goesBefore := w.Reader != 0 && (n.read.Reader == 0 || w.Reader < n.read.Reader)
-	if later >= news || later > -news && goesBefore {
-		n.read = w
-		n.tell = true
+// hearRead takes a read. It is told on if it is later than the latest one known, or has
+// the same number and was made by a watcher whose identity goes before: the other
+// watcher has to hear of it to stop.
+func (n *Node) hearRead(now time.Time, r ReadMark) {
+	if r.Number > maxNumber {
+		return
 	}
-}
-
-// hearAge takes the time of a read.
-func (n *Node) hearAge(readAt time.Time) {
-	if !readAt.After(n.readAt) {
+	later := r.Number > n.read.Number
+	goesBefore := r.Number == n.read.Number && r.Reader != 0 && (n.read.Reader == 0 || r.Reader < n.read.Reader)
+	if !later && !goesBefore {
 		return
 	}
-	n.readAt = readAt
-	n.askedAt = time.Time{}
-	if readAt.Sub(n.drawnAt) >= news {
-		n.drawnAt = readAt
+	if r.Reader != 0 && r.Reader < n.self {
+		n.lowerAt = now
+	}
+	n.tell = true
+	n.read.Reader = r.Reader
+	if later {
+		n.read = r
+		n.askedAt = time.Time{}
 		n.bears = drawAge(n.rng)
 	}
 }
@@ -237,11 +234,14 @@
 }
 
 // overdue reports whether the latest read known is older than this process bears.
-func (n *Node) overdue(now time.Time) bool { return now.Sub(n.readAt) >= n.bears }
+func (n *Node) overdue(now time.Time) bool {
+	return now.Sub(n.read.At) >= n.bears && now.Sub(n.ownAt) >= MinAge
+}
 
 // Called notes that a call of the store begins.
 func (n *Node) Called(now time.Time, c Call) {
 	n.calling = true
+	n.number = n.read.Number + 1
 	n.watcher = n.watcher || c == Read && n.revision != 0 && n.overdue(now)
 }
 
@@ -272,7 +272,7 @@
 		n.ownAt = begun
 		n.refute(now, begun)
 	}
-	n.hearRead(Word{ReadAt: at, Reader: n.reader()})
+	n.hearRead(now, ReadMark{Number: n.number, At: at, Reader: n.reader()})
 }
 
 func maxTime(a, b time.Time) time.Time {
@@ -360,14 +360,7 @@
 	return n.word(), ok
 }
 
-func (n *Node) word() Word {
-	w := n.read
-	if n.readAt.Sub(w.ReadAt) >= news {
-		w = Word{ReadAt: n.readAt}
-	}
-	w.Revision = n.revision
-	return w
-}
+func (n *Node) word() Word { return Word{Revision: n.revision, Read: n.read} }
 
 // rand64 draws a time below d.
 func rand64(rng *rand.Rand, d time.Duration) time.Duration {
--- a/propagation/node_test.go
+++ b/propagation/node_test.go
@@ -17,7 +17,8 @@
 	revision  uint64 // in the store
 	calls     int    // of the store
 	loss      float64
-	deaf      bool // watches hear nothing
+	hop       time.Duration // from process to process
+	deaf      bool          // watches hear nothing
 	refuses   func(i int) bool
 	later     []event
 }
@@ -37,13 +38,13 @@
 }
 
 const (
-	step    = 5 * time.Millisecond
-	answers = 4 * time.Millisecond // of the store
-	hop     = 2 * time.Millisecond
+	step     = 5 * time.Millisecond
+	answers  = 4 * time.Millisecond // of the store
+	usualHop = 2 * time.Millisecond
 )
 
 func newFleet(processes int, seed uint64) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), revision: 1, refuses: func(int) bool { return false }}
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), hop: usualHop, revision: 1, refuses: func(int) bool { return false }}
 	for i := range processes {
 		f.processes = append(f.processes, &process{i: i, n: New(f.rng)})
 	}
@@ -87,7 +88,7 @@
 func (f *fleet) rumour() {
 	a, b := f.processes[f.rng.IntN(len(f.processes))], f.processes[f.rng.IntN(len(f.processes))]
 	if !a.dead {
-		b.n.HearOf(f.now, a.n.spoken, a.n.readAt)
+		b.n.HearOf(f.now, a.n.spoken)
 	}
 }
 
@@ -109,13 +110,13 @@
 			from = address(f.rng.IntN(len(f.processes)))
 		}
 		p.n.Fetching(f.now)
-		f.after(2*hop, func() { f.fetch(p, from) })
+		f.after(2*f.hop, func() { f.fetch(p, from) })
 	}
 	if w, ok := p.n.Tell(f.now); ok {
 		for range Fanout {
 			to := f.processes[f.rng.IntN(len(f.processes))]
 			if f.rng.Float64() >= f.loss {
-				f.after(hop, func() { f.hear(to, p, w) })
+				f.after(f.hop, func() { f.hear(to, p, f.carried(w)) })
 			}
 		}
 	}
@@ -126,10 +127,19 @@
 		return
 	}
 	if answer, ok := p.n.Hear(f.now, address(from.i), w); ok {
-		f.after(hop, func() { from.n.Hear(f.now, address(p.i), answer) })
+		f.after(f.hop, func() { from.n.Hear(f.now, address(p.i), f.carried(answer)) })
 	}
 }
 
+// carried returns what arrives of a word: the age of a read is told, and not how long
+// the word is under way.
+func (f *fleet) carried(w Word) Word {
+	if w.Read.Number != 0 {
+		w.Read.At = w.Read.At.Add(f.hop)
+	}
+	return w
+}
+
 func (f *fleet) answer(p *process) {
 	if p.dead || p.call == None {
 		return
@@ -242,6 +252,27 @@
 	}
 }
 
+// Symptom: for seven seconds no process of the fleet reads the store, and a change is in
+// force nowhere.
+// Sequence: the watcher ends while messages take long on full links; the others go on
+// telling each other of its last read.
+// Cause: an age that is told does not count the time under way. Told round and round, a
+// read seemed to become younger with each way, as fast as time went by.
+func TestReadDoesNotGrowYoungerByBeingTold(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(23, seed)
+		f.hop = 250 * time.Millisecond
+		f.pass(2 * time.Second)
+		for _, p := range f.watchers() {
+			p.dead = true
+		}
+		const limit = bound + 2*time.Second // values take several ways
+		if d := f.change(limit); d >= limit {
+			t.Errorf("seed %d: not in force everywhere after %v", seed, d)
+		}
+	}
+}
+
 // Symptom: after a start of everything balancers read the store seventy times a second
 // until somebody's later read is told to them.
 // Sequence: all start at once; a process hears of another's read, told by an agent,
@@ -251,7 +282,7 @@
 func TestStartOfAllCostsOneReadEach(t *testing.T) {
 	const processes = 12
 	for seed := range uint64(20) {
-		f := &fleet{rng: rand.New(rand.NewPCG(seed, 4)), now: time.Unix(1000, 0), revision: 1, refuses: func(int) bool { return false }}
+		f := &fleet{rng: rand.New(rand.NewPCG(seed, 4)), now: time.Unix(1000, 0), hop: usualHop, revision: 1, refuses: func(int) bool { return false }}
 		for i := range processes {
 			f.processes = append(f.processes, &process{i: i, n: New(f.rng)})
 			f.pass(20 * time.Millisecond)
@@ -285,7 +316,7 @@
 	const span = 10 * time.Second
 	for end := f.now.Add(span); f.now.Before(end); {
 		for _, p := range f.processes {
-			p.n.HearOf(f.now, 1<<40, time.Time{})
+			p.n.HearOf(f.now, 1<<40)
 		}
 		f.pass(100 * time.Millisecond)
 	}
