--- a/test/packets/config_test.go
+++ b/test/packets/config_test.go
@@ -8,8 +8,10 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hemlockscale/hemlockscale/internal/standin/platform"
+	"github.com/hemlockscale/hemlockscale/propagation"
 	"github.com/hemlockscale/hemlockscale/test/fleet"
 )
 
@@ -89,6 +91,33 @@
 	d.serve(2, 5, "listing")
 }
 
+// Symptom: the store's rates are used up, and its price is the highest of all, when a
+// fleet grows.
+// Sequence: the configuration changes while many balancers run.
+// Cause: each of them watched it.
+func TestChangesCostTheSameWithMoreBalancers(t *testing.T) {
+	const changes = 5
+	for _, balancers := range []int{2, 8} {
+		d := start(t, balancers, "listing")
+		made := func() int { return d.store.Calls()["watch"] + d.store.Calls()["key"] }
+		d.await("somebody watches", func() bool { return d.store.Calls()["watch"] > 0 })
+		before, begun := made(), time.Now()
+		for range changes {
+			d.idle++
+			d.configure()
+			for _, b := range d.balancers {
+				d.await("the change is in force", func() bool { return b.inForce(d.revision) })
+			}
+		}
+		calls := made() - before
+		// Two a change and, for each Wait, a watch and half a read, twice over.
+		limit := 2*changes + 3*(1+int(time.Since(begun)/propagation.Wait))
+		if calls > limit {
+			t.Errorf("%d balancers: %d calls for %d changes, want %d at most", balancers, calls, changes, limit)
+		}
+	}
+}
+
 // Symptom: open flows stall, or a change waits, when the configuration grows.
 // Sequence: 1,500 routes are added while flows are in use, in several steps.
 // Cause: reading a large configuration holds what packets need.
