--- /dev/null
+++ b/propagation/example_test.go
@@ -0,0 +1,30 @@
+package propagation_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/hemlockscale/hemlockscale/propagation"
+)
+
+// A process that starts reads the store. Another one is told of the value and takes it
+// from there.
+func Example() {
+	now := time.Unix(1000, 0)
+	first := propagation.New(rand.New(rand.NewPCG(1, 1)))
+	second := propagation.New(rand.New(rand.NewPCG(1, 2)))
+
+	call := first.StoreCall(now)
+	first.Called(now, call)
+	first.Took(now, 7) // what the store answered
+	first.CallDone(now, call, now, propagation.Answered)
+
+	if word, ok := first.Tell(now); ok {
+		second.Hear(now, netip.MustParseAddrPort("10.1.0.7:7720"), word)
+	}
+	from, ok := second.Fetch(now)
+	fmt.Println(call == propagation.Read, from, ok)
+	// Output: true 10.1.0.7:7720 true
+}
--- a/propagation/node.go
+++ b/propagation/node.go
@@ -103,7 +103,8 @@
 
 	revision  uint64 // in force
 	spoken    uint64 // the newest that anybody spoke of
-	missedAt  time.Time
+	spokenAt  time.Time
+	missedAt  time.Time        // since when a newer value than that in force is known to exist
 	sources   []netip.AddrPort // who has the value that is missed
 	patience  time.Duration    // from missedAt until the store is read
 	refuted   uint64           // the store did not have it
@@ -157,7 +158,7 @@
 // Hear takes what another process tells. The process is to be told answer if ok is
 // true: it knows less than this one, since nothing reaches everybody.
 func (n *Node) Hear(now time.Time, from netip.AddrPort, w Word) (answer Word, ok bool) {
-	n.hearOf(now, w.Revision)
+	n.HearOf(now, w.Revision)
 	if w.Revision == n.spoken && w.Revision > n.revision && len(n.sources) < maxSources {
 		n.sources = append(n.sources, from)
 	}
@@ -167,17 +168,15 @@
 
 // HearOf takes what somebody tells who need not have the value: that a revision
 // exists.
-func (n *Node) HearOf(now time.Time, revision uint64) { n.hearOf(now, revision) }
-
-func (n *Node) hearOf(now time.Time, revision uint64) {
+func (n *Node) HearOf(now time.Time, revision uint64) {
 	if revision <= n.spoken || revision <= n.refuted && now.Sub(n.refutedAt) < refutedFor {
 		return
 	}
 	if n.spoken <= n.revision {
 		n.missedAt = now
-		n.patience = storeAfter + rand64(n.rng, storeSpan)
+		n.patience = storeAfter + below(n.rng, storeSpan)
 	}
-	n.spoken = revision
+	n.spoken, n.spokenAt = revision, now
 	n.sources = n.sources[:0]
 }
 
@@ -206,7 +205,7 @@
 }
 
 // drawAge draws the age of the latest read that a process bears.
-func drawAge(rng *rand.Rand) time.Duration { return MinAge + rand64(rng, MaxAge-MinAge) }
+func drawAge(rng *rand.Rand) time.Duration { return MinAge + below(rng, MaxAge-MinAge) }
 
 // StoreCall returns the call of the store that is due.
 func (n *Node) StoreCall(now time.Time) Call {
@@ -294,7 +293,7 @@
 // refute gives up a revision that was spoken of before a read began that did not find
 // it.
 func (n *Node) refute(now, begun time.Time) {
-	if n.spoken > n.revision && n.missedAt.Before(begun) {
+	if n.spoken > n.revision && n.spokenAt.Before(begun) {
 		n.refuted, n.refutedAt = n.spoken, now
 		n.spoken = n.revision
 		n.sources = n.sources[:0]
@@ -310,7 +309,7 @@
 	}
 	d := min(failBase<<min(n.failures, 10), longest)
 	n.failures++
-	return d/2 + rand64(n.rng, d/2)
+	return d/2 + below(n.rng, d/2)
 }
 
 // Fetch returns who to take a missing value from: a process that said that it has it,
@@ -362,7 +361,7 @@
 
 func (n *Node) word() Word { return Word{Revision: n.revision, Read: n.read} }
 
-// rand64 draws a time below d.
-func rand64(rng *rand.Rand, d time.Duration) time.Duration {
+// below draws a time below d.
+func below(rng *rand.Rand, d time.Duration) time.Duration {
 	return time.Duration(rng.Int64N(int64(d)))
 }
--- a/propagation/node_test.go
+++ b/propagation/node_test.go
@@ -327,3 +327,30 @@
 		t.Errorf("a change is not in force after %v", d)
 	}
 }
+
+// Symptom: one process has a change in force five seconds late.
+// Sequence: it misses a value and reads the store, which answers slowly; a still newer
+// value is written, and spoken of, before the answer arrives.
+// Cause: the newer one counted as one that the store did not have.
+func TestNewerValueThanTheReadBeganWithIsBelieved(t *testing.T) {
+	n := New(rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(1000, 0)
+	n.Called(now, Read)
+	n.Took(now, 1)
+	n.CallDone(now, Read, now, Answered)
+	n.HearOf(now, 2)
+	now = now.Add(storeAfter + storeSpan)
+	if c := n.StoreCall(now); c != Read {
+		t.Fatalf("call %v, want a read", c)
+	}
+	n.Called(now, Read)
+	begun := now
+	now = now.Add(200 * time.Millisecond)
+	n.HearOf(now, 3)
+	now = now.Add(200 * time.Millisecond)
+	n.Took(now, 2)
+	n.CallDone(now, Read, begun, Answered)
+	if !n.Behind() {
+		t.Error("the newer value is no longer missed")
+	}
+}
