--- a/flow/roster.go
+++ b/flow/roster.go
@@ -192,8 +192,8 @@
 // announceTo is the number of balancers that are told. Each of them greets the agent,
 // and when it hears it tells as many others in turn: four reach 98 in 100 balancers, and
 // the agent itself reports to those that the store names. Told by each to all, 204
-// agents that start together were 91 times 300 KB in and out of each of 91 balancers,
-// 0.12 s of a link of 20 Mbit/s in which new flows waited.
+// agents that start together are 300 KB out of and into each of 91 balancers: worked
+// out, 0.12 s of a link of 20 Mbit/s, in which new flows wait.
 const announceTo = 4
 
 // announce has the other balancers told of an agent that was heard for the first
