Logs tell how large a configuration is, and how much of one arrived

A failed transfer of the configuration was logged as 'context deadline exceeded', which a process that is gone, one that is slow and a link that is too thin have in common. The line now has the bytes that arrived, those of the whole and the time; the line of a configuration has its size.

--- a/internal/flowbalancer/configuration.go
+++ b/internal/flowbalancer/configuration.go
@@ -155,7 +155,7 @@
 		b.log.Info("ready", zap.Duration("after", after))
 	}
 	if configured == nil || routes.Revision != configured.Revision {
-		b.log.Info("configuration", zap.Uint64("revision", routes.Revision), zap.Bool("in_force", taken), zap.Int("routes", routes.Len()), node.VersionField("orders", v.Version), zap.Duration("took", node.Now().Sub(start)))
+		b.log.Info("configuration", zap.Uint64("revision", routes.Revision), zap.Bool("in_force", taken), zap.Int("routes", routes.Len()), zap.Int("bytes", len(o.Configuration)), node.VersionField("orders", v.Version), zap.Duration("took", node.Now().Sub(start)))
 	}
 	b.logEvacuations(v.Version, taken, o.Evacuated)
 	b.inForce = o
--- a/internal/node/share.go
+++ b/internal/node/share.go
@@ -41,6 +41,21 @@
 
 func (e *NoValueError) Unwrap() error { return e.Last }
 
+// PartialValueError reports a value of which only a part arrived.
+type PartialValueError struct {
+	Process netip.AddrPort
+	Got     int           // bytes that arrived
+	Size    int64         // bytes of the whole; -1 if the process did not tell
+	Took    time.Duration // since the first of them was waited for
+	Err     error
+}
+
+func (e *PartialValueError) Error() string {
+	return fmt.Sprintf("%v: %d of %d bytes of the value arrived in %v: %v; another process or the store is asked", e.Process, e.Got, e.Size, e.Took, e.Err)
+}
+
+func (e *PartialValueError) Unwrap() error { return e.Err }
+
 // ValuePage serves the value that f follows to other processes, so that one
 // which starts while the store is away need not wait for it.
 func ValuePage(f *Follower) http.Handler {
@@ -53,6 +68,7 @@
 		}
 		w.Header().Set(versionHeader, strconv.FormatUint(v.Version, 10))
 		w.Header().Set("Content-Type", "application/octet-stream")
+		w.Header().Set("Content-Length", strconv.Itoa(len(v.Data)))
 		w.Write(v.Data)
 	})
 	return mux
@@ -115,9 +131,10 @@
 	if err != nil {
 		return store.Value{}, fmt.Errorf("%v: version: %w", process, err)
 	}
+	begun := time.Now()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, valueLimit))
 	if err != nil {
-		return store.Value{}, err
+		return store.Value{}, &PartialValueError{Process: process, Got: len(data), Size: resp.ContentLength, Took: time.Since(begun), Err: err}
 	}
 	return store.Value{Data: data, Version: version}, nil
 }
