Calls of the store are bounded by the time in which nothing arrives

Callers saw: two balancers went on serving by a configuration that had been replaced, five seconds after its successor had been acknowledged.

Cause, first half: a call of the store was given up after 800 ms, whatever had arrived, and made anew. Above some size a thin link never brings an answer in that time, and each try fills the link for the others: 2,846 routes are 478,661 bytes, 638,000 in the store's base64, 510 ms of 10 Mbit/s with nothing else on it. Balancers on 200 Mbit/s had every change within 0.3 s, those on 10 Mbit/s none; 1,745 routes arrived everywhere, 2,045 not.

Change: an answer has to begin within the time of the call, and then more of it has to arrive in each such time (package transfer, 4 KB at least, so that a peer that sends a byte now and then holds nobody). The time that the whole takes follows from size and link: 1 MB, the largest value, takes 2.8 s at 4 Mbit/s. It ends where a link brings less than 4 KB in 800 ms.

Ruled out: a longer fixed time, which moves the edge to another size, and lets a store that has stopped hold its caller as long.

--- a/internal/standin/platform/endpoint.go
+++ b/internal/standin/platform/endpoint.go
@@ -20,6 +20,7 @@
 	Translate func(value []byte) []byte
 
 	mu    sync.Mutex
+	link  *Link
 	conns []*silentConn
 }
 
@@ -46,6 +47,14 @@
 	d.store.wake()
 }
 
+// SetLink sets the link that those who come by this endpoint read answers by, for
+// connections opened from now on.
+func (d *Endpoint) SetLink(l *Link) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.link = l
+}
+
 // Silence makes the connections that are open now go silent for good, without
 // an end; new ones work.
 func (d *Endpoint) Silence() {
@@ -68,9 +77,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &silentConn{Conn: c}
 	l.endpoint.mu.Lock()
 	defer l.endpoint.mu.Unlock()
+	s := &silentConn{Conn: l.endpoint.link.Limit(c)}
 	l.endpoint.conns = append(l.endpoint.conns, s)
 	return s, nil
 }
--- /dev/null
+++ b/internal/standin/platform/link.go
@@ -0,0 +1,64 @@
+package platform
+
+import (
+	"context"
+	"net"
+
+	"golang.org/x/time/rate"
+)
+
+// linkBurst is what a Link lets through at once, in bytes.
+const linkBurst = 4 << 10
+
+// Link is the link of a VM, which all its connections share. The nil Link has no limit.
+type Link struct{ limiter *rate.Limiter }
+
+// NewLink returns a link that carries so many bytes a second.
+func NewLink(bytesPerS int) *Link {
+	return &Link{rate.NewLimiter(rate.Limit(bytesPerS), linkBurst)}
+}
+
+// Limit returns a connection that writes no faster than the link carries.
+func (l *Link) Limit(c net.Conn) net.Conn {
+	if l == nil {
+		return c
+	}
+	return &linkConn{c, l}
+}
+
+// Listen returns a listener whose connections write no faster than the link carries.
+func (l *Link) Listen(ln net.Listener) net.Listener { return &linkListener{ln, l} }
+
+type linkListener struct {
+	net.Listener
+	link *Link
+}
+
+func (l *linkListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.link.Limit(c), nil
+}
+
+type linkConn struct {
+	net.Conn
+	link *Link
+}
+
+func (c *linkConn) Write(b []byte) (int, error) {
+	written := 0
+	for written < len(b) {
+		part := b[written:min(len(b), written+linkBurst)]
+		if err := c.link.limiter.WaitN(context.Background(), len(part)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(part)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
--- a/internal/standin/platform/wire.go
+++ b/internal/standin/platform/wire.go
@@ -33,6 +33,7 @@
 type wireEnd struct {
 	own   netip.AddrPort // where the process listens
 	known netip.AddrPort // where others send to
+	link  *Link          // of what the process answers on connections; guarded by Wire.mu
 	udp   *net.UDPConn
 	tcp   net.Listener
 }
@@ -68,6 +69,14 @@
 	w.fault = f
 }
 
+// SetLink sets the link of the process with an own address, for what it answers on
+// connections opened from now on.
+func (w *Wire) SetLink(own netip.Addr, l *Link) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ends[own].link = l
+}
+
 // Close ends the wire.
 func (w *Wire) Close() {
 	w.mu.Lock()
@@ -139,7 +148,7 @@
 			return
 		}
 		w.mu.Lock()
-		cut := w.fault(netip.Addr{}, to.own.Addr()).Cut
+		cut, link := w.fault(netip.Addr{}, to.own.Addr()).Cut, to.link
 		w.mu.Unlock()
 		up, err := net.Dial("tcp4", to.own.String())
 		if err != nil {
@@ -151,7 +160,7 @@
 			up.Close()
 			continue
 		}
-		w.done.Go(func() { join(c, up) })
+		w.done.Go(func() { join(link.Limit(c), up) })
 	}
 }
 
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -71,6 +71,17 @@
 	return fmt.Sprintf("store: value of %d bytes for key %q is over the limit of %d bytes; split it over several keys", e.Size, e.Key, MaxValue)
 }
 
+// TooLongError reports an answer that is longer than is taken. A watch's answer holds every
+// change that was made meanwhile, each with its whole value.
+type TooLongError struct {
+	Op    string
+	Limit int64 // in bytes
+}
+
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("store: the answer to %s is over the limit of %d bytes; read the keys as they are now", e.Op, e.Limit)
+}
+
 // WatchTimeoutError reports a watch that ended without a newer version.
 type WatchTimeoutError struct {
 	Key   string
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -76,7 +76,8 @@
 	// Changes waits for changes below prefix after a version and returns them in the
 	// order in which they were made, with the version up to which there are no others.
 	// The list is empty if there was none in the time that the store waits. Errors:
-	// *HistoryLostError, also if the store has come back from an older copy.
+	// *HistoryLostError, also if the store has come back from an older copy, and
+	// *TooLongError if the changes together are longer than the largest value.
 	Changes(ctx context.Context, prefix string, after uint64) (list []Change, upTo uint64, err error)
 }
 
--- /dev/null
+++ b/internal/transfer/transfer_test.go
@@ -0,0 +1,94 @@
+package transfer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+)
+
+var limits = Limits{Answer: 50 * time.Millisecond, Step: 100 * time.Millisecond}
+
+// trickle writes chunks of size bytes to w, every after, and then holds still.
+func trickle(w io.Writer, chunks, size int, every time.Duration) {
+	for range chunks {
+		time.Sleep(every)
+		if _, err := w.Write(make([]byte, size)); err != nil {
+			return
+		}
+	}
+}
+
+// read reads a body until it ends or the exchange stalls.
+func read(ctx context.Context, body io.Reader, pipe *io.PipeReader) (int, error) {
+	stop := context.AfterFunc(ctx, func() { pipe.CloseWithError(ctx.Err()) })
+	defer stop()
+	data, err := io.ReadAll(body)
+	return len(data), Err(ctx, err)
+}
+
+// A long transfer that goes on is not given up.
+func TestSlowTransferEnds(t *testing.T) {
+	ctx, e := Begin(context.Background(), limits)
+	defer e.End()
+	r, w := io.Pipe()
+	const chunks = 20
+	go func() {
+		trickle(w, chunks, stepSize, 20*time.Millisecond)
+		w.Close()
+	}()
+	got, err := read(ctx, e.Body(r, chunks*stepSize), r)
+	if err != nil || got != chunks*stepSize {
+		t.Fatalf("%d bytes, %v", got, err)
+	}
+}
+
+// A peer that stops, or sends a byte now and then, does not hold its reader.
+func TestStalledTransferIsGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		chunks, size int
+		every        time.Duration
+	}{
+		{"nothing", 0, 0, 0},
+		{"a part and no more", 3, stepSize, time.Millisecond},
+		{"a byte now and then", 1000, 1, 5 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, e := Begin(context.Background(), limits)
+			defer e.End()
+			r, w := io.Pipe()
+			defer r.Close()
+			go trickle(w, c.chunks, c.size, c.every)
+			_, err := read(ctx, e.Body(r, 1<<20), r)
+			var stalled *StalledError
+			if !errors.As(err, &stalled) || stalled.After != limits.Step || stalled.Size != 1<<20 {
+				t.Fatalf("%v", err)
+			}
+		})
+	}
+}
+
+// An answer that does not begin is given up.
+func TestMissingAnswerIsGivenUp(t *testing.T) {
+	ctx, e := Begin(context.Background(), limits)
+	defer e.End()
+	<-ctx.Done()
+	var stalled *StalledError
+	if !errors.As(Err(ctx, ctx.Err()), &stalled) || stalled.After != limits.Answer || stalled.Size != -1 {
+		t.Fatalf("%v", context.Cause(ctx))
+	}
+}
+
+// An exchange that its caller ends has not stalled.
+func TestCancelledExchangeHasNotStalled(t *testing.T) {
+	parent, cancel := context.WithCancel(context.Background())
+	ctx, e := Begin(parent, limits)
+	defer e.End()
+	cancel()
+	<-ctx.Done()
+	if err := Err(ctx, ctx.Err()); !errors.Is(err, context.Canceled) {
+		t.Fatalf("%v", err)
+	}
+}
