Several changes of a large configuration are read once

A watch that begins while changes are under way is answered with all of them, each with the whole value: ten changes of 512 KB are 7 MB, of which only the last counts. On a link of 16 Mbit/s that took more than three seconds, and the next answer held as many again.

An answer longer than the largest value that the store takes is not taken to its end; the orders are read as they are instead. Ruled out: a watch from a later revision, which would miss what ended meanwhile.

--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -125,6 +126,11 @@
 		return s.Read(ctx, known)
 	}
 	changes, upTo, err := s.Store.Changes(ctx, s.Keys.Prefix, s.from(known.Version))
+	var long *store.TooLongError
+	if errors.As(err, &long) {
+		// Several changes of a large configuration: only the last of them counts.
+		return s.Read(ctx, known)
+	}
 	if err != nil {
 		return store.Value{}, err
 	}
