Progress of a transfer is counted in parts of a step

A body without a length is read by a reader that returns only once it has filled what it reads into: a transfer at 500 KB/s counted as stalled after 366,912 bytes, since the next part to be filled was longer than what arrives in the time of a step. Reads are now a quarter of a step at most. TestReaderThatFillsItsBufferShowsProgress.

--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -148,8 +148,10 @@
 	r io.Reader
 }
 
+// Read reads a part of a step at most: some readers, such as that of an HTTP body without a
+// length, return only once they have filled p.
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
+	n, err := b.r.Read(p[:min(len(p), stepSize/4)])
 	b.e.arrived(n)
 	return n, err
 }
--- a/internal/transfer/transfer_test.go
+++ b/internal/transfer/transfer_test.go
@@ -92,3 +92,23 @@
 		t.Fatalf("%v", err)
 	}
 }
+
+// fillingReader returns only once it has filled what it reads into.
+type fillingReader struct{ r io.Reader }
+
+func (f fillingReader) Read(p []byte) (int, error) { return io.ReadFull(f.r, p) }
+
+// Guards against a transfer that goes on and is given up, since its reader returns late.
+func TestReaderThatFillsItsBufferShowsProgress(t *testing.T) {
+	ctx, e := Begin(context.Background(), limits)
+	defer e.End()
+	r, w := io.Pipe()
+	const chunks = 20
+	go trickle(w, chunks, stepSize, 20*time.Millisecond)
+	data := make([]byte, chunks*stepSize)
+	stop := context.AfterFunc(ctx, func() { r.CloseWithError(ctx.Err()) })
+	defer stop()
+	if _, err := io.ReadFull(e.Body(fillingReader{r}, -1), data); err != nil {
+		t.Fatal(Err(ctx, err))
+	}
+}
