No transfer of the product's own interface is bounded as a whole

The class of the incident, elsewhere: a transfer that starts over when a fixed time for the whole is up, so that there is a size above which a link never carries it.

- Client of the product's store: two seconds a call.
A page of the catalogue is up to 768 KB, 1.05 MB in base64: never read on less than 4.2 Mbit/s.
Now an answer has two seconds to begin, and two for each 4 KB.
An edit's page counts as it is taken by the link; the kernel keeps 16 KB of it that are not sent, where it kept all of it and showed nothing.
- Loads of the catalogue: eight seconds for all pages together.
Their limit is gone, each of their reads has the client's.
Settings CallTimeout and DefaultCallTimeout are gone.
- Bulk transfers between balancers: 20 s.
Now five for an answer to begin and three for each 4 KB.
A transfer that its asker ends is ended at once, where it went on to its deadline.
- hemlockctl: two seconds for a page of a process, whose size grows with what it knows.

Looked at and left: what is bounded in size (leases, contact slots, status checks, spans, heartbeats), and hemlockctl's -timeout, which the operator sets for the whole command.

TestLargeValueIsReadOverThinLink, TestLargeValueIsWrittenOverThinLink (internal/store) and TestLongTransferEnds (internal/bulk) hold that long transfers end, TestStalledAnswerIsGivenUp and TestStalledTransferIsGivenUp that a peer which stops holds nobody.

--- a/catalogue/follower.go
+++ b/catalogue/follower.go
@@ -10,7 +10,6 @@
 // Defaults of FollowerConfig.
 const (
 	DefaultCheck       = 2 * time.Second
-	DefaultCallTimeout = 2 * time.Second
 	DefaultWatchEnd    = 15 * time.Second
 	DefaultBackoffBase = 250 * time.Millisecond
 	DefaultBackoffMax  = 2 * time.Second
@@ -19,7 +18,6 @@
 // FollowerConfig sets up a Follower. Zero fields mean the defaults.
 type FollowerConfig struct {
 	Check       time.Duration // between two plain reads of the head
-	CallTimeout time.Duration // of a read or a load
 	WatchEnd    time.Duration // a watch without an answer for so long has stopped; above the store's own wait
 	BackoffBase time.Duration // after the first failed call
 	BackoffMax  time.Duration // longest wait between failed calls
@@ -43,6 +41,8 @@
 	ID      uint64
 	Version uint64 // of the head
 	Digest  Digest
+	// Timeout bounds the call; 0 for one whose answer is as long as the catalogue makes
+	// it. The Store ends its reads when they stall.
 	Timeout time.Duration
 }
 
@@ -88,7 +88,6 @@
 // NewFollower returns a follower that feeds r.
 func NewFollower(cfg FollowerConfig, r *Replica) *Follower {
 	orDefault(&cfg.Check, DefaultCheck)
-	orDefault(&cfg.CallTimeout, DefaultCallTimeout)
 	orDefault(&cfg.WatchEnd, DefaultWatchEnd)
 	orDefault(&cfg.BackoffBase, DefaultBackoffBase)
 	orDefault(&cfg.BackoffMax, DefaultBackoffMax)
@@ -103,10 +102,10 @@
 func (f *Follower) Next(now time.Time) []Call {
 	var calls []Call
 	if f.ready(CallCheck, now) {
-		calls = append(calls, f.start(CallCheck, now, f.cfg.CallTimeout))
+		calls = append(calls, f.start(CallCheck, now, 0))
 	}
 	if f.load && f.ready(CallLoad, now) {
-		calls = append(calls, f.start(CallLoad, now, f.cfg.CallTimeout*4))
+		calls = append(calls, f.start(CallLoad, now, 0))
 	}
 	// Nothing to wait behind until the head has been read once.
 	if f.version > 0 && f.ready(CallWatch, now) {
@@ -217,8 +216,11 @@
 
 // Make carries out a call. It blocks until the answer or the call's timeout.
 func Make(ctx context.Context, st Store, c Call) Result {
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
-	defer cancel()
+	if c.Timeout > 0 {
+		limited, cancel := context.WithTimeout(ctx, c.Timeout)
+		defer cancel()
+		ctx = limited
+	}
 	r := Result{Call: c}
 	switch c.Kind {
 	case CallWatch:
--- a/cmd/hemlockctl/platform.go
+++ b/cmd/hemlockctl/platform.go
@@ -18,6 +18,7 @@
 	"github.com/hemlockscale/hemlockscale/flow"
 	"github.com/hemlockscale/hemlockscale/internal/node"
 	"github.com/hemlockscale/hemlockscale/internal/store"
+	"github.com/hemlockscale/hemlockscale/internal/transfer"
 	"github.com/hemlockscale/hemlockscale/platform"
 )
 
@@ -145,7 +146,7 @@
 }
 
 func askBeliefs(ctx context.Context, addresses []string) []nodeBelief {
-	client := &http.Client{Timeout: nodeTimeout}
+	client := &http.Client{}
 	defer client.CloseIdleConnections()
 	nodes := make([]nodeBelief, len(addresses))
 	tokens := make(chan struct{}, askedAtOnce)
@@ -166,19 +167,22 @@
 
 // getJSON reads a page of a process.
 func getJSON(ctx context.Context, client *http.Client, url string, limit int64, out any) error {
+	ctx, e := transfer.Begin(ctx, transfer.Limits{Answer: nodeTimeout, Step: nodeTimeout})
+	defer e.End()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return err
+		return transfer.Err(ctx, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %s", resp.Status)
 	}
-	return json.NewDecoder(io.LimitReader(resp.Body, limit)).Decode(out)
+	body := e.Body(resp.Body, resp.ContentLength)
+	return transfer.Err(ctx, json.NewDecoder(io.LimitReader(body, limit)).Decode(out))
 }
 
 // judge says in a word how a process stands to the store.
--- a/cmd/hemlockctl/status.go
+++ b/cmd/hemlockctl/status.go
@@ -11,7 +11,8 @@
 	"github.com/hemlockscale/hemlockscale/catalogue"
 )
 
-// nodeTimeout bounds the question to one balancer.
+// nodeTimeout is the time in which a process's answer has to begin, and in which more of
+// it has to arrive.
 const nodeTimeout = 2 * time.Second
 
 // nodeLimit bounds a balancer's answer in bytes.
@@ -91,7 +92,7 @@
 
 // ask asks every balancer, some at a time.
 func ask(ctx context.Context, addresses []string) []nodeStatus {
-	client := &http.Client{Timeout: nodeTimeout}
+	client := &http.Client{}
 	defer client.CloseIdleConnections()
 	nodes := make([]nodeStatus, len(addresses))
 	tokens := make(chan struct{}, askedAtOnce)
--- a/internal/balancer/spread.go
+++ b/internal/balancer/spread.go
@@ -21,8 +21,6 @@
 	// table is built from the whole catalogue; a bulk edit of thousands of
 	// entries would else build as many.
 	publishInterval = 50 * time.Millisecond
-	// bulkLimit is how long one bulk transfer may take.
-	bulkLimit = 20 * time.Second
 	// bulkPortOffset is added to the port of the internal address: the bulk
 	// socket of every balancer is found without being announced first.
 	bulkPortOffset = 1
@@ -108,9 +106,7 @@
 }
 
 func (d *duty) fetch(ctx context.Context, a bulkAnswer, request []byte) {
-	limited, cancel := context.WithTimeout(ctx, bulkLimit)
-	defer cancel()
-	a.err = d.b.bulk.Fetch(limited, bulkAddr(a.from), a.kind, request, func(r io.Reader) (err error) {
+	a.err = d.b.bulk.Fetch(ctx, bulkAddr(a.from), a.kind, request, func(r io.Reader) (err error) {
 		if a.kind == bulk.KindCatalogue {
 			a.catalogue, err = catalogue.ReadBulk(r)
 			return err
--- a/internal/bulk/bulk.go
+++ b/internal/bulk/bulk.go
@@ -23,6 +23,7 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+	"github.com/hemlockscale/hemlockscale/internal/transfer"
 )
 
 const (
@@ -35,6 +36,11 @@
 	// stays within its share.
 	maxServed   = 4
 	idleTimeout = 5 * time.Second
+	// answerTimeout is the time in which an answer has to begin, and stepTimeout that in
+	// which more of it has to arrive: how long the whole takes depends on the catalogue and
+	// on the link.
+	answerTimeout = 5 * time.Second
+	stepTimeout   = 3 * time.Second
 
 	codeBusy  quic.ApplicationErrorCode = 1
 	codeDone  quic.ApplicationErrorCode = 0
@@ -96,6 +102,7 @@
 	listener  *quic.Listener
 	tls       *tls.Config
 	handler   Handler
+	limits    transfer.Limits // of Fetch
 	served    chan struct{}
 	wg        sync.WaitGroup
 }
@@ -110,7 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Port{socket: socket, transport: &quic.Transport{Conn: socket}, tls: t, handler: h, served: make(chan struct{}, maxServed)}
+	p := &Port{socket: socket, transport: &quic.Transport{Conn: socket}, tls: t, handler: h, limits: transfer.Limits{Answer: answerTimeout, Step: stepTimeout}, served: make(chan struct{}, maxServed)}
 	p.listener, err = p.transport.Listen(t, quicConfig())
 	if err != nil {
 		socket.Close()
@@ -162,28 +169,34 @@
 	<-conn.Context().Done() // the asker closes once it has everything
 }
 
-// Fetch asks the port at addr and passes the answer to read.
+// Fetch asks the port at addr and passes the answer to read. Errors:
+// *transfer.StalledError.
 func (p *Port) Fetch(ctx context.Context, addr netip.AddrPort, kind Kind, request []byte, read func(io.Reader) error) error {
+	ctx, e := transfer.Begin(ctx, p.limits)
+	defer e.End()
+	if err := p.exchange(ctx, e, addr, append([]byte{byte(kind)}, request...), read); err != nil {
+		return fmt.Errorf("bulk: %v: %w", addr, transfer.Err(ctx, err))
+	}
+	return nil
+}
+
+func (p *Port) exchange(ctx context.Context, e *transfer.Exchange, addr netip.AddrPort, request []byte, read func(io.Reader) error) error {
 	conn, err := p.transport.Dial(ctx, net.UDPAddrFromAddrPort(addr), p.tls, quicConfig())
 	if err != nil {
-		return fmt.Errorf("bulk: %v: %w", addr, err)
+		return err
 	}
 	defer conn.CloseWithError(codeDone, "")
+	stop := context.AfterFunc(ctx, func() { conn.CloseWithError(codeDone, "") })
+	defer stop()
 	stream, err := conn.OpenStream()
 	if err != nil {
-		return fmt.Errorf("bulk: %v: %w", addr, err)
+		return err
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		stream.SetDeadline(deadline)
-	}
-	if _, err := stream.Write(append([]byte{byte(kind)}, request...)); err != nil {
-		return fmt.Errorf("bulk: %v: %w", addr, err)
+	if _, err := stream.Write(request); err != nil {
+		return err
 	}
 	stream.Close()
-	if err := read(stream); err != nil {
-		return fmt.Errorf("bulk: %v: %w", addr, err)
-	}
-	return nil
+	return read(e.Body(stream, -1))
 }
 
 // Close ends Serve and every transfer, and waits for them.
--- a/internal/bulk/bulk_test.go
+++ b/internal/bulk/bulk_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/netip"
 	"testing"
@@ -11,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
+	"github.com/hemlockscale/hemlockscale/internal/transfer"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -81,3 +83,45 @@
 		t.Fatalf("a stranger got %d bytes", len(got))
 	}
 }
+
+// testLimits are short, so that a transfer outlasts them soon.
+var testLimits = transfer.Limits{Answer: 300 * time.Millisecond, Step: 300 * time.Millisecond}
+
+// Guards against a process that can never take a catalogue that its link does not carry
+// within a fixed time.
+func TestLongTransferEnds(t *testing.T) {
+	const part, parts = 64 << 10, 20
+	slow := listen(t, keyOne, func(_ context.Context, _ Kind, _ []byte, w io.Writer) error {
+		for range parts {
+			time.Sleep(50 * time.Millisecond)
+			if _, err := w.Write(make([]byte, part)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	asker := listen(t, keyOne, echo)
+	asker.limits = testLimits
+	if got, err := fetch(asker, slow); err != nil || len(got) != part*parts {
+		t.Fatalf("%d bytes, %v", len(got), err)
+	}
+}
+
+// Guards against a process that stops in the middle of its answer, and holds its asker.
+func TestStalledTransferIsGivenUp(t *testing.T) {
+	stalled := listen(t, keyOne, func(ctx context.Context, _ Kind, _ []byte, w io.Writer) error {
+		if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	asker := listen(t, keyOne, echo)
+	asker.limits = testLimits
+	begun := time.Now()
+	_, err := fetch(asker, stalled)
+	var stall *transfer.StalledError
+	if !errors.As(err, &stall) || time.Since(begun) > 3*time.Second {
+		t.Fatalf("after %v: %v", time.Since(begun), err)
+	}
+}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -13,7 +13,12 @@
 	"net/url"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/hemlockscale/hemlockscale/internal/transfer"
 )
 
 // Defaults of Config.
@@ -25,11 +30,31 @@
 // answerLimit bounds an answer: a value of MaxValue in base64 and its frame.
 const answerLimit = 2 * MaxValue
 
+// unsentLimit bounds what the kernel holds of a request that the link has not taken yet, in
+// bytes. It would else hold a whole value, and show nothing of how far that is.
+const unsentLimit = 16 << 10
+
+// limitUnsent sets TCP_NOTSENT_LOWAT.
+func limitUnsent(_, _ string, c syscall.RawConn) error {
+	var opt error
+	err := c.Control(func(fd uintptr) {
+		opt = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentLimit)
+	})
+	if err != nil {
+		return err
+	}
+	return opt
+}
+
 // Config sets up a Client.
 type Config struct {
-	URL          string        // base URL such as http://10.0.0.1:7000
-	Timeout      time.Duration // of every call but Watch; default DefaultTimeout
-	WatchTimeout time.Duration // of Watch; above the server's own wait; default DefaultWatchTimeout
+	URL string // base URL such as http://10.0.0.1:7000
+	// Timeout is the time in which the answer to any call but Watch has to begin, and in
+	// which more of an answer has to arrive; default DefaultTimeout.
+	Timeout time.Duration
+	// WatchTimeout is the time in which the answer to Watch has to begin: above the
+	// server's own wait; default DefaultWatchTimeout.
+	WatchTimeout time.Duration
 }
 
 // Client is an Interface over HTTP/1.1. It is safe for concurrent use.
@@ -52,7 +77,7 @@
 	if cfg.WatchTimeout <= 0 {
 		cfg.WatchTimeout = DefaultWatchTimeout
 	}
-	dialer := &net.Dialer{Timeout: cfg.Timeout}
+	dialer := &net.Dialer{Timeout: cfg.Timeout, Control: limitUnsent}
 	return &Client{
 		cfg: cfg,
 		http: &http.Client{
@@ -126,26 +151,26 @@
 	write         bool
 	expect, after uint64
 	lease         LeaseID
-	timeout       time.Duration
+	timeout       time.Duration // until the answer begins
 }
 
 func (c *Client) do(ctx context.Context, k call, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, k.timeout)
-	defer cancel()
+	ctx, e := transfer.Begin(ctx, transfer.Limits{Answer: k.timeout, Step: c.cfg.Timeout})
+	defer e.End()
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
-	req, err := c.request(ctx, k)
+	req, err := c.request(ctx, e, k)
 	if err != nil {
 		return &UnavailableError{Op: k.op, Err: err}
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return k.failed(err, sent.Load())
+		return k.failed(transfer.Err(ctx, err), sent.Load())
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit))
+	raw, err := io.ReadAll(io.LimitReader(e.Body(resp.Body, resp.ContentLength), answerLimit))
 	if err != nil {
-		return k.failed(err, true)
+		return k.failed(transfer.Err(ctx, err), true)
 	}
 	if resp.StatusCode == http.StatusOK {
 		return k.decode(raw, out)
@@ -158,7 +183,7 @@
 // was written and the body can be had again. A compare-and-swap sent twice
 // would meet its own first write and report a conflict for an edit that is in
 // force. POST without GetBody is never repeated.
-func (c *Client) request(ctx context.Context, k call) (*http.Request, error) {
+func (c *Client) request(ctx context.Context, e *transfer.Exchange, k call) (*http.Request, error) {
 	if k.body == nil {
 		return http.NewRequestWithContext(ctx, http.MethodGet, c.cfg.URL+k.path, nil)
 	}
@@ -166,11 +191,12 @@
 	if err != nil {
 		return nil, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.cfg.URL+k.path, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.cfg.URL+k.path, e.Request(bytes.NewReader(data)))
 	if err != nil {
 		return nil, err
 	}
 	req.GetBody = nil
+	req.ContentLength = int64(len(data))
 	req.Header.Set("Content-Type", "application/json")
 	return req, nil
 }
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -14,6 +15,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"github.com/hemlockscale/hemlockscale/internal/standin/platform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -125,3 +128,66 @@
 		t.Fatalf("waited %v after a reset", d)
 	}
 }
+
+// thinServer serves h over a link that carries bytesPerS, both ways.
+func thinServer(t *testing.T, bytesPerS int, h http.HandlerFunc) *Client {
+	t.Helper()
+	s := httptest.NewUnstartedServer(h)
+	s.Listener = platform.NewLink(bytesPerS).Listen(s.Listener)
+	s.Start()
+	t.Cleanup(s.Close)
+	c, err := New(Config{URL: s.URL, Timeout: 300 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Guards against a page of the catalogue that can't be read over a thin link, since it does
+// not arrive within a fixed time.
+func TestLargeValueIsReadOverThinLink(t *testing.T) {
+	want := make([]byte, MaxValue/2)
+	c := thinServer(t, 500_000, func(w http.ResponseWriter, _ *http.Request) {
+		if err := json.NewEncoder(w).Encode(ValueBody{Data: want, Version: 1}); err != nil {
+			t.Error(err)
+		}
+	})
+	v, err := c.Get(context.Background(), "a")
+	if err != nil || len(v.Data) != len(want) {
+		t.Fatalf("%d bytes, %v", len(v.Data), err)
+	}
+}
+
+// Guards against an edit whose outcome stays unknown however often it is made: the link
+// does not carry its page within a fixed time.
+func TestLargeValueIsWrittenOverThinLink(t *testing.T) {
+	c := thinServer(t, 1<<20, func(w http.ResponseWriter, r *http.Request) {
+		for {
+			if _, err := io.CopyN(io.Discard, r.Body, 64<<10); err != nil {
+				break
+			}
+			time.Sleep(60 * time.Millisecond)
+		}
+		if err := json.NewEncoder(w).Encode(VersionBody{Version: 1}); err != nil {
+			t.Error(err)
+		}
+	})
+	if _, err := c.CompareAndSwap(context.Background(), "a", 0, make([]byte, MaxValue), ""); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a service that stops in the middle of an answer, and holds its caller.
+func TestStalledAnswerIsGivenUp(t *testing.T) {
+	c := thinServer(t, 1<<20, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "1000")
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	var unavailable *UnavailableError
+	if _, err := c.Get(context.Background(), "a"); !errors.As(err, &unavailable) {
+		t.Fatalf("%v", err)
+	}
+}
