--- a/test/packets/soak_faults_test.go
+++ b/test/packets/soak_faults_test.go
@@ -264,3 +264,18 @@
 	}
 	s.configure()
 }
+
+const (
+	// soakLink is what the link of a balancer carries in a thinSoak, in bytes a second.
+	soakLink = 1_000_000
+	// soakRoutes bounds the routes of its configuration that no caller uses.
+	soakRoutes = 5000
+)
+
+// resizeConfig makes the configuration longer or shorter by thousands of routes.
+func (s *soaker) resizeConfig() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle = s.rng.IntN(soakRoutes)
+	s.configure()
+}
--- a/test/packets/soak_test.go
+++ b/test/packets/soak_test.go
@@ -42,6 +42,9 @@
 	wiredSoak
 	// restoredSoak is wiredSoak with a store that comes back from older copies of itself.
 	restoredSoak
+	// thinSoak is wiredSoak on thin links, with a configuration that grows and shrinks by
+	// thousands of routes.
+	thinSoak
 )
 
 // soakCase is one run.
@@ -51,7 +54,7 @@
 }
 
 func (c soakCase) String() string {
-	return fmt.Sprintf("%s seed=%d", [...]string{"direct", "wired", "restored"}[c.kind], c.seed)
+	return fmt.Sprintf("%s seed=%d", [...]string{"direct", "wired", "restored", "thin"}[c.kind], c.seed)
 }
 
 // regressions are the runs that failed once, with the cause.
@@ -73,7 +76,7 @@
 func TestSoak(t *testing.T) {
 	cases := regressions
 	for _, seed := range seedsOf(t, *soakSeeds) {
-		cases = append(cases, soakCase{wiredSoak, seed}, soakCase{restoredSoak, seed})
+		cases = append(cases, soakCase{wiredSoak, seed}, soakCase{restoredSoak, seed}, soakCase{thinSoak, seed})
 	}
 	for _, c := range cases {
 		t.Run(c.String(), func(t *testing.T) { soak(t, c) })
@@ -135,6 +138,9 @@
 		deployment: d, kind: c.kind, rng: rand.New(rand.NewPCG(c.seed, 1)),
 		proxies: map[*vm]*toxiproxy.Proxy{}, open: map[*vm]bool{}, wires: map[*vm]wireTrouble{},
 	}
+	if c.kind == thinSoak {
+		d.thinLinks(soakLink)
+	}
 	s.proxyStore()
 	if d.wire != nil {
 		d.wire.SetFault(s.wireFault)
@@ -227,6 +233,9 @@
 	if s.kind == restoredSoak {
 		actions = append(actions, s.restoreStore, s.restoreStore)
 	}
+	if s.kind == thinSoak {
+		actions = append(actions, s.resizeConfig, s.resizeConfig)
+	}
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		actions[s.rng.IntN(len(actions))]()
 		time.Sleep(time.Duration(50+s.rng.IntN(400)) * time.Millisecond)
@@ -278,20 +287,23 @@
 	s.await("every key is in the store", func() bool {
 		return len(s.store.Keys("hemlock/nodes/")) == len(s.balancers)+len(s.agents)
 	})
-	if s.kind == restoredSoak {
-		s.inForceInTime()
+	switch s.kind {
+	case restoredSoak:
+		s.inForceInTime(s.changeConfig, applyLimit)
+	case thinSoak:
+		s.inForceInTime(s.resizeConfig, inForceLimit)
 	}
 }
 
 // inForceInTime fails the test if a change of the configuration is not in force everywhere
-// in time.
-func (s *soaker) inForceInTime() {
-	s.changeConfig()
+// within limit.
+func (s *soaker) inForceInTime(change func(), limit time.Duration) {
+	change()
 	acknowledged := time.Now()
 	for _, b := range s.balancers {
 		s.await("the change is in force", func() bool { return b.inForce(s.revision) })
 	}
-	if took := time.Since(acknowledged); took > applyLimit {
-		s.t.Errorf("in force after %v, want %v at most", took, applyLimit)
+	if took := time.Since(acknowledged); took > limit {
+		s.t.Errorf("in force after %v, want %v at most", took, limit)
 	}
 }
