Revert "A read of the store ends once another process has sent the value"

What takes the time there is the link of the one that has the value, with up to nine askers at once.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -52,16 +52,12 @@
 
 	served encodings // latest value that could be used
 
-	taking     sync.Mutex  // held while a value is taken: one call of Changed at a time
-	mu         sync.Mutex  // guards what follows
-	latest     store.Value // whether it could be used or not
-	failing    bool
-	endReading context.CancelCauseFunc // of the read of the store under way, nil if there is none
+	taking  sync.Mutex  // held while a value is taken: one call of Changed at a time
+	mu      sync.Mutex  // guards latest and failing
+	latest  store.Value // whether it could be used or not
+	failing bool
 }
 
-// errOvertaken ends a read of the store that another process's value has overtaken.
-var errOvertaken = errors.New("another process has sent the value")
-
 // Run follows the key until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	var duties sync.WaitGroup
@@ -112,8 +108,6 @@
 	switch {
 	case err == nil:
 		return propagation.Answered
-	case errors.Is(err, errOvertaken):
-		return propagation.Overtaken
 	case errors.As(err, &lost):
 		return propagation.HistoryLost
 	}
@@ -154,31 +148,6 @@
 	f.Log.Info("value from another process", zap.String("key", f.Source.Name()), VersionField("version", v.Version), VersionField("known", known.Version),
 		zap.Stringer("process", v.Process), zap.Int64("bytes", v.Bytes), zap.Duration("took", took))
 	f.take(v.Value)
-	f.endRead()
-}
-
-// endRead ends a read of the store that is under way: its answer may be large, and the
-// link is wanted for others.
-func (f *Follower) endRead() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.endReading != nil {
-		f.endReading(errOvertaken)
-	}
-}
-
-// beginRead returns the context of a read of the store, which endRead ends.
-func (f *Follower) beginRead(ctx context.Context) (reading context.Context, done func()) {
-	reading, cancel := context.WithCancelCause(ctx)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.endReading = cancel
-	return reading, func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.endReading = nil
-		cancel(nil)
-	}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -198,9 +167,6 @@
 // noteStore logs the store's loss and its return.
 func (f *Follower) noteStore(err error) {
 	var missing *store.NotFoundError
-	if errors.Is(err, errOvertaken) {
-		return
-	}
 	failed := err != nil && !errors.As(err, &missing)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -216,12 +182,7 @@
 }
 
 func (f *Follower) read(ctx context.Context) error {
-	reading, done := f.beginRead(ctx)
-	defer done()
-	v, err := f.Source.Read(reading, f.known())
-	if err != nil && errors.Is(context.Cause(reading), errOvertaken) {
-		return errOvertaken
-	}
+	v, err := f.Source.Read(ctx, f.known())
 	if err != nil {
 		return err
 	}
--- a/propagation/node.go
+++ b/propagation/node.go
@@ -77,7 +77,6 @@
 	Answered    Outcome = iota
 	Failed              // no answer, or a refusal
 	HistoryLost         // the store can't tell what a Watch missed
-	Overtaken           // a Read that was ended since another process has sent the value
 )
 
 // Word is what one process tells another.
@@ -258,9 +257,6 @@
 // CallDone takes the end of a call. What it brought was handed to Took before.
 func (n *Node) CallDone(now time.Time, c Call, begun time.Time, o Outcome) {
 	n.calling = false
-	if o == Overtaken {
-		return // what the read was for is still due, unless it was the value alone
-	}
 	n.reread = c == Watch && o != Answered // a watch that was cut may have missed a change
 	switch {
 	case o == Answered:
--- a/propagation/node_test.go
+++ b/propagation/node_test.go
@@ -436,21 +436,3 @@
 		t.Fatalf("call %v once no process sends it", c)
 	}
 }
-
-// Guards against a store that counts as lost because a read of it was no longer needed, and
-// against one that is never read again after that.
-func TestOvertakenReadIsNoFailure(t *testing.T) {
-	now := time.Unix(1000, 0)
-	n := New(rand.New(rand.NewPCG(1, 2)))
-	n.Called(now, Read)
-	n.Took(now, 5)
-	n.CallDone(now, Read, now, Overtaken)
-	if n.lost() || n.failures != 0 {
-		t.Fatalf("lost %v, %d failures", n.lost(), n.failures)
-	}
-	now = now.Add(MaxAge)
-	n.Tell(now)
-	if c := n.StoreCall(now.Add(hearsay)); c != Read {
-		t.Fatalf("call %v when nobody has read for %v", c, MaxAge)
-	}
-}
