Propagation: names and comments in the field's terms

No logic is changed. Digest, Receive and NextDigest in place of words that are heard and told; newestKnown, rejected and maxReadAge in place of what was spoken, refuted and borne. Comments give reasons, and no longer how a value was found.

--- a/internal/flowbalancer/balancer.go
+++ b/internal/flowbalancer/balancer.go
@@ -280,7 +280,7 @@
 	if m.Kind.BetweenBalancers() {
 		d.FromBalancer(now, from, &m, packet)
 		if m.Kind == flow.Configured {
-			b.onWord(now, from, &m, packet, out)
+			b.onDigest(now, from, &m, packet, out)
 		}
 		return
 	}
--- a/internal/flowbalancer/configuration.go
+++ b/internal/flowbalancer/configuration.go
@@ -17,22 +17,22 @@
 	"github.com/hemlockscale/hemlockscale/propagation"
 )
 
-// propagate does what is due for the operator's orders: others are told what is new here,
-// and the follower is woken if it may have something to do.
+// propagate does what is due for the operator's orders: digests are sent, and the follower
+// is woken if it may have something to do.
 func (b *Balancer) propagate(out *node.Output) {
 	now := node.Now()
 	b.mu.Lock()
-	b.plan.HearOf(now, b.director.Seen())
+	b.plan.NoteRevision(now, b.director.Seen())
 	b.director.Confirm(b.plan.ReadAt())
-	w, tell := b.plan.Tell(now)
+	digest, send := b.plan.NextDigest(now)
 	var to []netip.AddrPort
-	if tell {
+	if send {
 		to = b.director.SomeBalancers(now, propagation.Fanout)
 	}
 	due := b.plan.Due(now)
 	b.mu.Unlock()
 	for _, addr := range to {
-		out.Add([]flow.Effect{word(addr, w, now)})
+		out.Add([]flow.Effect{digestMessage(addr, digest, now)})
 	}
 	out.Flush()
 	if !due {
@@ -44,26 +44,26 @@
 	}
 }
 
-// word returns the message that tells another balancer w.
-func word(to netip.AddrPort, w propagation.Word, now time.Time) flow.Effect {
+// digestMessage returns the message that carries a digest to another balancer.
+func digestMessage(to netip.AddrPort, d propagation.Digest, now time.Time) flow.Effect {
 	return flow.Effect{Kind: flow.SendMessage, To: to, Message: flow.Message{
-		Kind: flow.Configured, Revision: w.Revision, ReadAge: flow.AgeOf(now, w.Read.At), Incarnation: w.Read.Reader,
-	}, Packet: binary.LittleEndian.AppendUint64(nil, w.Read.Number)}
+		Kind: flow.Configured, Revision: d.Revision, ReadAge: flow.AgeOf(now, d.Read.At), Incarnation: d.Read.Reader,
+	}, Packet: binary.LittleEndian.AppendUint64(nil, d.Read.Number)}
 }
 
 // numberSize is the length of a read's number, which follows the message, in bytes.
 const numberSize = 8
 
-// onWord takes what another balancer tells of the operator's orders, with b.mu held, and
+// onDigest takes another balancer's digest of the operator's orders, with b.mu held, and
 // adds the answer to out. A message without a number is not one of this system.
-func (b *Balancer) onWord(now time.Time, from netip.AddrPort, m *flow.Message, number []byte, out *node.Output) {
+func (b *Balancer) onDigest(now time.Time, from netip.AddrPort, m *flow.Message, number []byte, out *node.Output) {
 	if len(number) != numberSize {
 		return
 	}
 	read := propagation.ReadMark{Number: binary.LittleEndian.Uint64(number), At: flow.ReadAt(now, m.ReadAge), Reader: m.Incarnation}
-	w := propagation.Word{Revision: m.Revision, Read: read}
-	if answer, ok := b.plan.Hear(now, from, w); ok {
-		out.Add([]flow.Effect{word(from, answer, now)})
+	d := propagation.Digest{Revision: m.Revision, Read: read}
+	if answer, ok := b.plan.Receive(now, from, d); ok {
+		out.Add([]flow.Effect{digestMessage(from, answer, now)})
 	}
 }
 
@@ -149,7 +149,7 @@
 	configured := b.director.Routes()
 	taken := b.director.SetOrders(start, flow.NewOrders(v.Version, routes, o.Evacuated))
 	if taken {
-		b.plan.Took(node.Now(), v.Version)
+		b.plan.Applied(node.Now(), v.Version)
 	}
 	if routes == nil {
 		routes = b.director.Routes()
--- a/propagation/example_test.go
+++ b/propagation/example_test.go
@@ -9,7 +9,7 @@
 	"github.com/hemlockscale/hemlockscale/propagation"
 )
 
-// A process that starts reads the store. Another one is told of the value and takes it
+// A process that starts reads the store. Another one receives its digest and takes the value
 // from there.
 func Example() {
 	now := time.Unix(1000, 0)
@@ -18,11 +18,11 @@
 
 	call := first.StoreCall(now)
 	first.Called(now, call)
-	first.Took(now, 7) // what the store answered
+	first.Applied(now, 7) // what the store answered
 	first.CallDone(now, call, now, propagation.Answered)
 
-	if word, ok := first.Tell(now); ok {
-		second.Hear(now, netip.MustParseAddrPort("10.1.0.7:7720"), word)
+	if digest, ok := first.NextDigest(now); ok {
+		second.Receive(now, netip.MustParseAddrPort("10.1.0.7:7720"), digest)
 	}
 	from, ok := second.Fetch(now)
 	fmt.Println(call == propagation.Read, from, ok)
--- a/propagation/node.go
+++ b/propagation/node.go
@@ -11,7 +11,7 @@
 	// much as a read, so that it is one call of the store a Wait for the whole fleet.
 	Wait = 1200 * time.Millisecond
 	// MinAge is the least age of the latest read at which another process reads: above
-	// Wait, with time for the answer to be told around.
+	// Wait, with time for the digest of the answer to spread.
 	MinAge = 1500 * time.Millisecond
 	// MaxAge is the greatest such age. With the time that a value takes to all
 	// processes it stays below 3 s, in which a change has to be in force.
@@ -21,29 +21,29 @@
 	checkEvery = 2 * Wait
 	// answerTime is how much older than its arrival an answer of the store counts.
 	answerTime = 50 * time.Millisecond
-	// Fanout is the number of processes that are told of something new. Three reach
-	// 94 in 100 processes, those that miss it hear of it with the next read.
+	// Fanout is the number of processes that a digest is sent to. A few processes are
+	// missed by all; they receive the digest of the next read.
 	Fanout = 3
-	// repeats is how often a process tells of a new value after the first time, each
-	// to other processes, and repeatAfter the time between. Told once, six in 100
-	// processes hear of a change with the next read only, up to a second later.
+	// repeats is how often the digest of a new value is sent again, each time to other
+	// processes, and repeatAfter the time between: those that the first one missed would
+	// wait for the next read.
 	repeats     = 2
 	repeatAfter = 100 * time.Millisecond
-	// maxNumber bounds the numbers of reads that are believed: one read a second would
-	// take longer than anybody's history to get there, a damaged message need not.
+	// maxNumber bounds the numbers of reads that are accepted: no fleet makes as many
+	// reads, a damaged message may claim them.
 	maxNumber = 1 << 48
-	// hearsay is how long a process waits for an answer of others before it takes the
-	// latest read that it knows for the latest there is.
-	hearsay = 60 * time.Millisecond
-	// sourceAfter is how long somebody who has a value is waited for once it was
-	// spoken of. Those who have it say so within a few exchanges.
+	// answerWait is how long a process whose latest read is overdue waits for the digests
+	// of others before it reads.
+	answerWait = 60 * time.Millisecond
+	// sourceAfter is how long the digest of a process that has a new value is waited for
+	// before any others are asked.
 	sourceAfter = 50 * time.Millisecond
-	// askEvery is the time between two questions to processes that did not say that
-	// they have the value.
+	// askEvery is the time between two questions to processes that have not announced the
+	// value.
 	askEvery = 300 * time.Millisecond
-	// storeAfter and storeSpan bound the time after which a value that nobody gives is
-	// read in the store. They are spread so that most processes have it by then from
-	// the first of them.
+	// storeAfter and storeSpan bound the time after which a value that no process sends is
+	// read in the store. The reads are spread: most processes get the value from the first
+	// one that has read it.
 	storeAfter = 400 * time.Millisecond
 	storeSpan  = 400 * time.Millisecond
 	// failBase and failMax space the repeats of failed calls of the store, startMax
@@ -51,10 +51,9 @@
 	failBase = 150 * time.Millisecond
 	failMax  = 1800 * time.Millisecond
 	startMax = 900 * time.Millisecond
-	// refutedFor is how long a revision that the store did not have when it was read
-	// is not believed in: it comes from a foreign or damaged message, and believed in
-	// it would have every process read the store again and again.
-	refutedFor = 5 * time.Second
+	// rejectedFor is how long a revision that the store did not have is ignored: it comes
+	// from a foreign or damaged message, and every process would read the store for it.
+	rejectedFor = 5 * time.Second
 	// maxSources bounds the processes remembered as having the value that is missed.
 	maxSources = 3
 )
@@ -79,18 +78,18 @@
 	HistoryLost         // the store can't tell what a Watch missed
 )
 
-// Word is what one process tells another.
-type Word struct {
+// Digest is what processes send each other: the value that the sender has, and the latest
+// read of the store that it knows.
+type Digest struct {
 	Revision uint64 // of the value that the sender has in force; 0 if none
 	Read     ReadMark
 }
 
-// ReadMark tells of a read of the store.
+// ReadMark identifies a read of the store.
 type ReadMark struct {
-	// Number is one more than that of the latest read that its maker knew of, 0 for no
-	// read. Only a higher number is a later read. Times do not tell: the age that is
-	// told of a read lacks the time that the message is under way, and told round and
-	// round on full links a read seemed to be new for as long as nobody made another.
+	// Number is one more than that of the latest read that its maker knew, 0 for no read.
+	// Only a higher number is a later read. Ages can't order reads: they lack the time that
+	// messages are under way, so that an old read looks new if it goes round.
 	Number uint64
 	At     time.Time // when it was made, as far as known
 	Reader uint64    // identity of the watcher that made it; 0 if another process did
@@ -101,25 +100,25 @@
 	self uint64
 	rng  *rand.Rand
 
-	revision  uint64 // in force
-	spoken    uint64 // the newest that anybody spoke of
-	spokenAt  time.Time
-	missedAt  time.Time        // since when a newer value than that in force is known to exist
-	sources   []netip.AddrPort // who has the value that is missed
-	patience  time.Duration    // from missedAt until the store is read
-	refuted   uint64           // the store did not have it
-	refutedAt time.Time
-	fetching  bool
-	receiving bool      // a process sends the value that is missed
-	askAt     time.Time // when others may be asked who did not say that they have it
-
-	read    ReadMark      // the latest one known
-	bears   time.Duration // age of it at which this process reads
-	lowerAt time.Time     // when a watcher whose identity goes before this one's was heard of
-	number  uint64        // of the call under way
-	ownAt   time.Time     // latest read of this process
-	lostAt  time.Time     // since when reads of this process have failed; zero: the last one did not
-	askedAt time.Time     // when others were asked for a later read than the one known; zero: not yet
+	revision      uint64 // in force
+	newestKnown   uint64 // newest revision that any digest or message named
+	newestKnownAt time.Time
+	behindSince   time.Time        // since when a newer value than that in force is known to exist
+	sources       []netip.AddrPort // who has the value that is missed
+	readAfter     time.Duration    // from behindSince until the store is read
+	rejected      uint64           // the store did not have it
+	rejectedAt    time.Time
+	fetching      bool
+	receiving     bool      // a process sends the value that is missed
+	askAt         time.Time // when others may be asked who did not say that they have it
+
+	read           ReadMark      // the latest one known
+	maxReadAge     time.Duration // age of it at which this process reads
+	priorWatcherAt time.Time     // when a read of a watcher with a lower identity was received
+	number         uint64        // of the call under way
+	ownAt          time.Time     // latest read of this process
+	lostAt         time.Time     // since when reads of this process have failed; zero: the last one did not
+	askedAt        time.Time     // when others were asked for a later read than the one known; zero: not yet
 
 	watcher  bool
 	calling  bool
@@ -129,86 +128,85 @@
 	watchAt  time.Time // no watch before
 	failures int
 
-	tell     bool
-	repeat   int // times that the value in force is told again
-	repeatAt time.Time
+	digestDue   bool
+	repeatsLeft int // times that the digest of the value in force is sent again
+	repeatAt    time.Time
 }
 
 // New returns the state of a process that knows nothing. self tells it from the
 // others; it is drawn at random from rng.
 func New(rng *rand.Rand) *Node {
-	return &Node{self: rng.Uint64() | 1, rng: rng, bears: drawAge(rng)}
+	return &Node{self: rng.Uint64() | 1, rng: rng, maxReadAge: drawAge(rng)}
 }
 
 // Behind reports whether a newer value than that in force is known to exist, or none
 // is in force.
-func (n *Node) Behind() bool { return n.revision == 0 || n.spoken > n.revision }
+func (n *Node) Behind() bool { return n.revision == 0 || n.newestKnown > n.revision }
 
 // ReadAt returns when the store was last read by any process, as far as known.
 func (n *Node) ReadAt() time.Time { return n.read.At }
 
-// Took notes that a value was put in force.
-func (n *Node) Took(now time.Time, revision uint64) {
+// Applied notes that a value was put in force.
+func (n *Node) Applied(now time.Time, revision uint64) {
 	if revision <= n.revision {
 		return
 	}
 	n.revision = revision
-	n.spoken = max(n.spoken, revision)
+	n.newestKnown = max(n.newestKnown, revision)
 	n.sources = n.sources[:0]
-	n.tell = true
-	n.repeat, n.repeatAt = repeats, now.Add(repeatAfter)
+	n.digestDue = true
+	n.repeatsLeft, n.repeatAt = repeats, now.Add(repeatAfter)
 }
 
-// Hear takes what another process tells. The process is to be told answer if ok is
-// true: it knows less than this one, since nothing reaches everybody.
-func (n *Node) Hear(now time.Time, from netip.AddrPort, w Word) (answer Word, ok bool) {
-	n.HearOf(now, w.Revision)
-	if w.Revision == n.spoken && w.Revision > n.revision && len(n.sources) < maxSources {
+// Receive takes the digest of another process. answer is to be sent back if ok is true: the
+// other process knows less than this one.
+func (n *Node) Receive(now time.Time, from netip.AddrPort, d Digest) (answer Digest, ok bool) {
+	n.NoteRevision(now, d.Revision)
+	if d.Revision == n.newestKnown && d.Revision > n.revision && len(n.sources) < maxSources {
 		n.sources = append(n.sources, from)
 	}
-	n.hearRead(now, w.Read)
-	return n.word(), n.read.Number > w.Read.Number || n.revision > w.Revision
+	n.receiveRead(now, d.Read)
+	return n.digest(), n.read.Number > d.Read.Number || n.revision > d.Revision
 }
 
-// HearOf takes what somebody tells who need not have the value: that a revision
-// exists.
-func (n *Node) HearOf(now time.Time, revision uint64) {
-	if revision <= n.spoken || revision <= n.refuted && now.Sub(n.refutedAt) < refutedFor {
+// NoteRevision notes that a revision exists. Whoever named it need not have the value.
+func (n *Node) NoteRevision(now time.Time, revision uint64) {
+	if revision <= n.newestKnown || revision <= n.rejected && now.Sub(n.rejectedAt) < rejectedFor {
 		return
 	}
-	if n.spoken <= n.revision {
-		n.missedAt = now
-		n.patience = storeAfter + below(n.rng, storeSpan)
+	if n.newestKnown <= n.revision {
+		n.behindSince = now
+		n.readAfter = storeAfter + below(n.rng, storeSpan)
 	}
-	n.spoken, n.spokenAt = revision, now
+	n.newestKnown, n.newestKnownAt = revision, now
 	n.sources = n.sources[:0]
 }
 
-// hearRead takes a read. It is told on if it is later than the latest one known, or has
-// the same number and was made by a watcher whose identity goes before: the other
-// watcher has to hear of it to stop.
-func (n *Node) hearRead(now time.Time, r ReadMark) {
+// receiveRead takes a read. It is sent on if it is later than the latest one known, or has
+// the same number and was made by a watcher with a lower identity: the other watcher has to
+// receive it to stop.
+func (n *Node) receiveRead(now time.Time, r ReadMark) {
 	if r.Number > maxNumber {
 		return
 	}
 	later := r.Number > n.read.Number
-	goesBefore := r.Number == n.read.Number && r.Reader != 0 && (n.read.Reader == 0 || r.Reader < n.read.Reader)
-	if !later && !goesBefore {
+	hasPriority := r.Number == n.read.Number && r.Reader != 0 && (n.read.Reader == 0 || r.Reader < n.read.Reader)
+	if !later && !hasPriority {
 		return
 	}
 	if r.Reader != 0 && r.Reader < n.self {
-		n.lowerAt = now
+		n.priorWatcherAt = now
 	}
-	n.tell = true
+	n.digestDue = true
 	n.read.Reader = r.Reader
 	if later {
 		n.read = r
 		n.askedAt = time.Time{}
-		n.bears = drawAge(n.rng)
+		n.maxReadAge = drawAge(n.rng)
 	}
 }
 
-// drawAge draws the age of the latest read that a process bears.
+// drawAge draws the age of the latest read at which a process reads.
 func drawAge(rng *rand.Rand) time.Duration { return MinAge + below(rng, MaxAge-MinAge) }
 
 // StoreCall returns the call of the store that is due.
@@ -218,13 +216,13 @@
 		return None
 	case n.revision == 0 || n.reread:
 		return Read
-	case n.spoken > n.revision && !n.receiving && now.Sub(n.missedAt) >= n.patience:
+	case n.newestKnown > n.revision && !n.receiving && now.Sub(n.behindSince) >= n.readAfter:
 		return Read
 	case n.lost(), n.watcher && now.Sub(n.ownAt) >= checkEvery:
 		return Read
 	case n.watcher && !now.Before(n.watchAt):
 		return Watch
-	case n.overdue(now) && !n.askedAt.IsZero() && now.Sub(n.askedAt) >= hearsay:
+	case n.overdue(now) && !n.askedAt.IsZero() && now.Sub(n.askedAt) >= answerWait:
 		return Read
 	}
 	return None
@@ -237,14 +235,14 @@
 }
 
 // lost reports whether the last read of this process failed, and no process has read the
-// store since. One that watched for all then goes on trying: the others' draws begin 1.5 s
-// after the last read, and a store that was away for a moment has lost its watchers, and
-// may have lost what was written, without anybody noticing until then.
+// store since. One that watched for all then goes on trying: the others read MinAge after the
+// last read at the earliest, and a store that was away for a moment has lost its watchers,
+// and may have lost what was written.
 func (n *Node) lost() bool { return !n.lostAt.IsZero() && n.read.At.Before(n.lostAt) }
 
-// overdue reports whether the latest read known is older than this process bears.
+// overdue reports whether the latest read known is so old that this process reads.
 func (n *Node) overdue(now time.Time) bool {
-	return now.Sub(n.read.At) >= n.bears && now.Sub(n.ownAt) >= MinAge
+	return now.Sub(n.read.At) >= n.maxReadAge && now.Sub(n.ownAt) >= MinAge
 }
 
 // Called notes that a call of the store begins.
@@ -254,7 +252,7 @@
 	n.watcher = n.watcher || c == Read && n.revision != 0 && (n.lost() || n.overdue(now))
 }
 
-// CallDone takes the end of a call. What it brought was handed to Took before.
+// CallDone takes the end of a call. What it brought was handed to Applied before.
 func (n *Node) CallDone(now time.Time, c Call, begun time.Time, o Outcome) {
 	n.calling = false
 	n.reread = c == Watch && o != Answered // a watch that was cut may have missed a change
@@ -270,13 +268,13 @@
 		n.watcher = false // the others' draws find one that the store serves
 		n.callAt = now.Add(n.backoff())
 	}
-	if n.lowerAt.After(begun.Add(-Wait / 2)) {
-		n.watcher = false // another one watches, and goes before this one
+	if n.priorWatcherAt.After(begun.Add(-Wait / 2)) {
+		n.watcher = false // another one with a lower identity watches
 	}
 }
 
-// watchRefused has watches that fail in a row begin no more often than those that hear
-// nothing. One may have been cut by chance; a store that serves reads and refuses every
+// watchRefused has watches that fail in a row begin no more often than those that see no
+// change. One may have been cut by chance; a store that serves reads and refuses every
 // watch would be called without a pause.
 func (n *Node) watchRefused(begun time.Time) {
 	if n.refused {
@@ -296,9 +294,9 @@
 		at = begun
 		n.ownAt = begun
 		n.lostAt = time.Time{}
-		n.refute(now, begun)
+		n.reject(now, begun)
 	}
-	n.hearRead(now, ReadMark{Number: n.number, At: at, Reader: n.reader()})
+	n.receiveRead(now, ReadMark{Number: n.number, At: at, Reader: n.reader()})
 }
 
 func maxTime(a, b time.Time) time.Time {
@@ -308,8 +306,8 @@
 	return b
 }
 
-// reader returns the identity that the process's reads are told with: 0 if it does not
-// watch, so that no watcher stops for a read that is made once.
+// reader returns the identity in the marks of this process's reads: 0 if it does not watch,
+// so that no watcher stops for a single read.
 func (n *Node) reader() uint64 {
 	if n.watcher {
 		return n.self
@@ -317,12 +315,11 @@
 	return 0
 }
 
-// refute gives up a revision that was spoken of before a read began that did not find
-// it.
-func (n *Node) refute(now, begun time.Time) {
-	if n.spoken > n.revision && n.spokenAt.Before(begun) {
-		n.refuted, n.refutedAt = n.spoken, now
-		n.spoken = n.revision
+// reject gives up a revision that was named before a read began that did not find it.
+func (n *Node) reject(now, begun time.Time) {
+	if n.newestKnown > n.revision && n.newestKnownAt.Before(begun) {
+		n.rejected, n.rejectedAt = n.newestKnown, now
+		n.newestKnown = n.revision
 		n.sources = n.sources[:0]
 	}
 }
@@ -339,8 +336,8 @@
 	return d/2 + below(n.rng, d/2)
 }
 
-// Fetch returns who to take a missing value from: a process that said that it has it,
-// or the zero value for any few of them. ok is false if there is nothing to take.
+// Fetch returns the process to ask for a missing value: one that announced it, or the zero
+// value for any few of them. ok is false if there is nothing to ask for.
 func (n *Node) Fetch(now time.Time) (from netip.AddrPort, ok bool) {
 	if n.fetching || !n.Behind() {
 		return netip.AddrPort{}, false
@@ -348,7 +345,7 @@
 	if len(n.sources) > 0 {
 		return n.sources[0], true
 	}
-	waited := n.revision == 0 || now.Sub(n.missedAt) >= sourceAfter
+	waited := n.revision == 0 || now.Sub(n.behindSince) >= sourceAfter
 	return netip.AddrPort{}, waited && !now.Before(n.askAt)
 }
 
@@ -364,7 +361,7 @@
 // meanwhile for want of it: both answers would share the link, and arrive later.
 func (n *Node) Receiving() { n.receiving = true }
 
-// Fetched takes the end of it. What it brought was handed to Took before.
+// Fetched takes the end of it. What it brought was handed to Applied before.
 func (n *Node) Fetched() {
 	n.fetching, n.receiving = false, false
 	if n.Behind() && len(n.sources) > 0 {
@@ -372,25 +369,25 @@
 	}
 }
 
-// Tell returns what Fanout others are to be told now; ok is false if it is nothing. A
-// process whose latest read gets too old tells it as well: those who know of a later
-// one answer.
-func (n *Node) Tell(now time.Time) (w Word, ok bool) {
+// NextDigest returns the digest that is to be sent to Fanout others now; ok is false if none
+// is. A process whose latest read is overdue sends one as well: those who know of a later
+// read answer.
+func (n *Node) NextDigest(now time.Time) (d Digest, ok bool) {
 	if n.revision != 0 && !n.watcher && n.overdue(now) && n.askedAt.IsZero() {
 		n.askedAt = now
-		n.tell = true
+		n.digestDue = true
 	}
-	if n.repeat > 0 && !now.Before(n.repeatAt) {
-		n.repeat--
+	if n.repeatsLeft > 0 && !now.Before(n.repeatAt) {
+		n.repeatsLeft--
 		n.repeatAt = now.Add(repeatAfter)
-		n.tell = true
+		n.digestDue = true
 	}
-	ok = n.tell
-	n.tell = false
-	return n.word(), ok
+	ok = n.digestDue
+	n.digestDue = false
+	return n.digest(), ok
 }
 
-func (n *Node) word() Word { return Word{Revision: n.revision, Read: n.read} }
+func (n *Node) digest() Digest { return Digest{Revision: n.revision, Read: n.read} }
 
 // below draws a time below d.
 func below(rng *rand.Rand, d time.Duration) time.Duration {
--- a/propagation/node_test.go
+++ b/propagation/node_test.go
@@ -18,7 +18,7 @@
 	calls     int    // of the store
 	loss      float64
 	hop       time.Duration // from process to process
-	deaf      bool          // watches hear nothing
+	deaf      bool          // watches receive nothing
 	forgets   bool          // every watch is refused for want of history
 	refuses   func(i int) bool
 	later     []event
@@ -76,7 +76,7 @@
 			}
 			e.do()
 		}
-		f.rumour()
+		f.gossip()
 		for _, p := range f.processes {
 			if !p.dead {
 				f.act(p)
@@ -85,11 +85,11 @@
 	}
 }
 
-// rumour lets a process hear, by way of an agent, what another one had heard of.
-func (f *fleet) rumour() {
+// gossip has a process learn, by way of an agent, of a revision that another one knows.
+func (f *fleet) gossip() {
 	a, b := f.processes[f.rng.IntN(len(f.processes))], f.processes[f.rng.IntN(len(f.processes))]
 	if !a.dead {
-		b.n.HearOf(f.now, a.n.spoken)
+		b.n.NoteRevision(f.now, a.n.newestKnown)
 	}
 }
 
@@ -113,28 +113,28 @@
 		p.n.Fetching(f.now)
 		f.after(2*f.hop, func() { f.fetch(p, from) })
 	}
-	if w, ok := p.n.Tell(f.now); ok {
+	if w, ok := p.n.NextDigest(f.now); ok {
 		for range Fanout {
 			to := f.processes[f.rng.IntN(len(f.processes))]
 			if f.rng.Float64() >= f.loss {
-				f.after(f.hop, func() { f.hear(to, p, f.carried(w)) })
+				f.after(f.hop, func() { f.receive(to, p, f.carried(w)) })
 			}
 		}
 	}
 }
 
-func (f *fleet) hear(p, from *process, w Word) {
+func (f *fleet) receive(p, from *process, w Digest) {
 	if p.dead {
 		return
 	}
-	if answer, ok := p.n.Hear(f.now, address(from.i), w); ok {
-		f.after(f.hop, func() { from.n.Hear(f.now, address(p.i), f.carried(answer)) })
+	if answer, ok := p.n.Receive(f.now, address(from.i), w); ok {
+		f.after(f.hop, func() { from.n.Receive(f.now, address(p.i), f.carried(answer)) })
 	}
 }
 
-// carried returns what arrives of a word: the age of a read is told, and not how long
-// the word is under way.
-func (f *fleet) carried(w Word) Word {
+// carried returns a digest as it arrives: it has the age of a read, and not how long it was
+// under way.
+func (f *fleet) carried(w Digest) Digest {
 	if w.Read.Number != 0 {
 		w.Read.At = w.Read.At.Add(f.hop)
 	}
@@ -175,7 +175,7 @@
 }
 
 func (f *fleet) take(p *process, revision uint64) {
-	p.n.Took(f.now, revision)
+	p.n.Applied(f.now, revision)
 }
 
 // change writes a new value and returns how long it takes to all that live, at most
@@ -340,7 +340,7 @@
 // until somebody's later read is told to them.
 // Sequence: all start at once; a process hears of another's read, told by an agent,
 // before its own first read is answered.
-// Cause: only a read that was news let a process draw the age that it bears, and its
+// Cause: only a read that was news let a process draw the age that it maxReadAge, and its
 // own was none.
 func TestStartOfAllCostsOneReadEach(t *testing.T) {
 	const processes = 12
@@ -379,11 +379,11 @@
 	const span = 10 * time.Second
 	for end := f.now.Add(span); f.now.Before(end); {
 		for _, p := range f.processes {
-			p.n.HearOf(f.now, 1<<40)
+			p.n.NoteRevision(f.now, 1<<40)
 		}
 		f.pass(100 * time.Millisecond)
 	}
-	if limit := int(3*span/(2*Wait)) + len(f.processes)*int(span/refutedFor+1); f.calls > limit {
+	if limit := int(3*span/(2*Wait)) + len(f.processes)*int(span/rejectedFor+1); f.calls > limit {
 		t.Errorf("%d calls, want %d at most", f.calls, limit)
 	}
 	if d := f.change(bound); d >= bound {
@@ -393,15 +393,15 @@
 
 // Symptom: one process has a change in force five seconds late.
 // Sequence: it misses a value and reads the store, which answers slowly; a still newer
-// value is written, and spoken of, before the answer arrives.
+// value is written, and announced, before the answer arrives.
 // Cause: the newer one counted as one that the store did not have.
 func TestNewerValueThanTheReadBeganWithIsBelieved(t *testing.T) {
 	n := New(rand.New(rand.NewPCG(1, 1)))
 	now := time.Unix(1000, 0)
 	n.Called(now, Read)
-	n.Took(now, 1)
+	n.Applied(now, 1)
 	n.CallDone(now, Read, now, Answered)
-	n.HearOf(now, 2)
+	n.NoteRevision(now, 2)
 	now = now.Add(storeAfter + storeSpan)
 	if c := n.StoreCall(now); c != Read {
 		t.Fatalf("call %v, want a read", c)
@@ -409,9 +409,9 @@
 	n.Called(now, Read)
 	begun := now
 	now = now.Add(200 * time.Millisecond)
-	n.HearOf(now, 3)
+	n.NoteRevision(now, 3)
 	now = now.Add(200 * time.Millisecond)
-	n.Took(now, 2)
+	n.Applied(now, 2)
 	n.CallDone(now, Read, begun, Answered)
 	if !n.Behind() {
 		t.Error("the newer value is no longer missed")
@@ -423,8 +423,8 @@
 func TestStoreIsNotReadWhileAProcessSends(t *testing.T) {
 	now := time.Unix(1000, 0)
 	n := New(rand.New(rand.NewPCG(1, 2)))
-	n.Took(now, 1)
-	n.Hear(now, address(1), Word{Revision: 2, Read: ReadMark{Number: 1, At: now}})
+	n.Applied(now, 1)
+	n.Receive(now, address(1), Digest{Revision: 2, Read: ReadMark{Number: 1, At: now}})
 	n.Fetching(now)
 	n.Receiving()
 	now = now.Add(storeAfter + storeSpan)
