--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -18,7 +18,7 @@
 
 // Limits bounds an exchange.
 type Limits struct {
-	Answer time.Duration // until the answer begins, once stepSize more of the request can't be sent
+	Answer time.Duration // until the answer begins; anew with each stepSize of the request that is sent
 	Step   time.Duration // for each stepSize of the answer
 }
 
@@ -116,13 +116,6 @@
 	}
 }
 
-// Got returns the bytes that have arrived.
-func (e *Exchange) Got() int64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.got
-}
-
 // Err returns the cause in place of err if the exchange with that context stalled.
 func Err(ctx context.Context, err error) error {
 	var stalled *StalledError
