Tests of transfers wait on conditions; a change right after a start is tested too

Change: a stand-in's link counts for open connections too, so nothing is silenced and waited for; the pace of thin links comes from a rate limiter or a ticker. No check and no bound is changed.

The product is unchanged.

--- a/internal/bulk/bulk_test.go
+++ b/internal/bulk/bulk_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"golang.org/x/time/rate"
 
 	"github.com/hemlockscale/hemlockscale/internal/fleetkey"
 	"github.com/hemlockscale/hemlockscale/internal/transfer"
@@ -90,10 +91,13 @@
 // Guards against a process that can never take a catalogue that its link does not carry
 // within a fixed time.
 func TestLongTransferEnds(t *testing.T) {
-	const part, parts = 64 << 10, 20
-	slow := listen(t, keyOne, func(_ context.Context, _ Kind, _ []byte, w io.Writer) error {
+	const part, parts, partsPerS = 64 << 10, 20, 20
+	pace := rate.NewLimiter(partsPerS, 1)
+	slow := listen(t, keyOne, func(ctx context.Context, _ Kind, _ []byte, w io.Writer) error {
 		for range parts {
-			time.Sleep(50 * time.Millisecond)
+			if err := pace.Wait(ctx); err != nil {
+				return err
+			}
 			if _, err := w.Write(make([]byte, part)); err != nil {
 				return err
 			}
--- a/internal/standin/platform/endpoint.go
+++ b/internal/standin/platform/endpoint.go
@@ -47,8 +47,7 @@
 	d.store.wake()
 }
 
-// SetLink sets the link that those who come by this endpoint read answers by, for
-// connections opened from now on.
+// SetLink sets the link that those who come by this endpoint read answers by.
 func (d *Endpoint) SetLink(l *Link) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -79,7 +78,7 @@
 	}
 	l.endpoint.mu.Lock()
 	defer l.endpoint.mu.Unlock()
-	s := &silentConn{Conn: l.endpoint.link.Limit(c)}
+	s := &silentConn{Conn: c, endpoint: l.endpoint}
 	l.endpoint.conns = append(l.endpoint.conns, s)
 	return s, nil
 }
@@ -87,7 +86,8 @@
 // silentConn swallows what comes and goes once it is silent.
 type silentConn struct {
 	net.Conn
-	silent atomic.Bool
+	endpoint *Endpoint
+	silent   atomic.Bool
 }
 
 func (c *silentConn) Read(b []byte) (int, error) {
@@ -103,5 +103,8 @@
 	if c.silent.Load() {
 		return len(b), nil
 	}
-	return c.Conn.Write(b)
+	c.endpoint.mu.Lock()
+	link := c.endpoint.link
+	c.endpoint.mu.Unlock()
+	return link.write(c.Conn, b)
 }
--- a/internal/standin/platform/link.go
+++ b/internal/standin/platform/link.go
@@ -47,14 +47,20 @@
 	link *Link
 }
 
-func (c *linkConn) Write(b []byte) (int, error) {
+func (c *linkConn) Write(b []byte) (int, error) { return c.link.write(c.Conn, b) }
+
+// write writes b to c, no faster than the link carries.
+func (l *Link) write(c net.Conn, b []byte) (int, error) {
+	if l == nil {
+		return c.Write(b)
+	}
 	written := 0
 	for written < len(b) {
 		part := b[written:min(len(b), written+linkBurst)]
-		if err := c.link.limiter.WaitN(context.Background(), len(part)); err != nil {
+		if err := l.limiter.WaitN(context.Background(), len(part)); err != nil {
 			return written, err
 		}
-		n, err := c.Conn.Write(part)
+		n, err := c.Write(part)
 		written += n
 		if err != nil {
 			return written, err
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"golang.org/x/time/rate"
 
 	"github.com/hemlockscale/hemlockscale/internal/standin/platform"
 )
@@ -162,12 +163,13 @@
 // Guards against an edit whose outcome stays unknown however often it is made: the link
 // does not carry its page within a fixed time.
 func TestLargeValueIsWrittenOverThinLink(t *testing.T) {
+	const part, partsPerS = 64 << 10, 16
+	pace := rate.NewLimiter(partsPerS, 1)
 	c := thinServer(t, 1<<20, func(w http.ResponseWriter, r *http.Request) {
-		for {
-			if _, err := io.CopyN(io.Discard, r.Body, 64<<10); err != nil {
+		for pace.Wait(r.Context()) == nil {
+			if _, err := io.CopyN(io.Discard, r.Body, part); err != nil {
 				break
 			}
-			time.Sleep(60 * time.Millisecond)
 		}
 		if err := json.NewEncoder(w).Encode(VersionBody{Version: 1}); err != nil {
 			t.Error(err)
--- a/internal/transfer/transfer_test.go
+++ b/internal/transfer/transfer_test.go
@@ -10,10 +10,12 @@
 
 var limits = Limits{Answer: 50 * time.Millisecond, Step: 100 * time.Millisecond}
 
-// trickle writes chunks of size bytes to w, every after, and then holds still.
+// trickle writes a chunk of size bytes to w with each tick, and then holds still.
 func trickle(w io.Writer, chunks, size int, every time.Duration) {
+	ticks := time.NewTicker(every)
+	defer ticks.Stop()
 	for range chunks {
-		time.Sleep(every)
+		<-ticks.C
 		if _, err := w.Write(make([]byte, size)); err != nil {
 			return
 		}
@@ -51,7 +53,7 @@
 		chunks, size int
 		every        time.Duration
 	}{
-		{"nothing", 0, 0, 0},
+		{"nothing", 0, 0, time.Millisecond},
 		{"a part and no more", 3, stepSize, time.Millisecond},
 		{"a byte now and then", 1000, 1, 5 * time.Millisecond},
 	} {
--- a/propagation/node_test.go
+++ b/propagation/node_test.go
@@ -336,12 +336,8 @@
 	}
 }
 
-// Symptom: after a start of everything balancers read the store seventy times a second
-// until somebody's later read is told to them.
-// Sequence: all start at once; a process hears of another's read, told by an agent,
-// before its own first read is answered.
-// Cause: only a read that was news let a process draw the age that it maxReadAge, and its
-// own was none.
+// Guards against processes that read the store without a pause after a start of everything,
+// since another one's read reached them before the answer to their own.
 func TestStartOfAllCostsOneReadEach(t *testing.T) {
 	const processes = 12
 	for seed := range uint64(20) {
--- a/test/packets/configuration_test.go
+++ b/test/packets/configuration_test.go
@@ -17,7 +17,6 @@
 	for _, b := range d.balancers {
 		link := platform.NewLink(bytesPerS)
 		b.endpoint.SetLink(link)
-		b.endpoint.Silence()
 		d.wire.SetLink(b.addr, link)
 	}
 }
@@ -39,7 +38,6 @@
 	d := startWired(t, 1, 3, "listing", "records")
 	d.serve(2, 3, "listing", "records")
 	d.thinLinks(bytesPerS)
-	time.Sleep(2 * time.Second) // connections that were silenced are given up
 	for _, idle := range []int{routes, routes + 1, routes / 2} {
 		d.idle = idle
 		begun := time.Now()
