A started balancer keeps the configuration that others carried over

What callers saw: after the store came back from an older copy, a balancer that started before the operator had written the newer configuration again took the older one from the store.

Cause: processes compare values by the store's version alone. After the return the version no longer tells which of two values is newer: the others carry the newer configuration over under the version at which they read the store (1.107 in the log of the failing run), and the process that starts reads the older one under the same version, or a higher one as soon as any key is written. Under the same version it asked nobody ('this version is not newer'); under a higher one it would have overruled the others.

Hypotheses told apart by the log lines "configuration" (revision, orders) and "value from another process": (a) the new process is never told of the others' value, (b) it is told and does not ask, (c) it asks and is refused. The failing runs have digests in both directions and no line "value from another process" after the start: (b).

Change: - a digest carries, beside the version, the number that the operator gave to the configuration; a process with a lower number asks the sender, whatever the versions are, and the page that serves values answers by both; - what comes from the store or from another process is merged with what is known: the higher version with the newer configuration of the two. Before, only the process that saw the era change kept the newer one, in a field of its reader; - a process that starts beside a store of a later era asks others first, for 250 ms at most, before it puts the store's value in force. In the first era nothing changes: a store that never lost anything has the newest configuration; - a question to nobody, since no other process is known yet, no longer counts as one: the next came 300 ms later.

Why this holds: the configuration only ever grows by its own number, in each process and with each exchange, whoever is killed and whatever the store says (TestNoProcessGoesBackToAnOlderConfiguration over random orders of restores, starts, reads and exchanges). A damaged number costs one question to its sender and no call of the store.

Not covered: if every balancer ends before any other has taken the carried configuration over, only the store's copy is left until the operator writes again.

--- a/flow/orders.go
+++ b/flow/orders.go
@@ -38,17 +38,18 @@
 func (o ZoneOrder) Valid() bool { return o <= lastZoneOrder }
 
 // SetOrders puts orders in force. Older ones than those in force are refused: what a
-// backend server has seen the effect of is never undone.
+// backend server has seen the effect of is never undone. Under the same number only newer
+// routes are taken, which another process kept when the store lost them.
 //
 // An evacuation that every balancer alone kept would be broken by each that is behind;
 // so balancers leave a zone out to waste no offer, and tell its agents, which refuse
 // whoever offers.
 func (d *Director) SetOrders(now time.Time, o *Orders) bool {
-	if o.Number <= d.orders.Number {
+	before := d.orders
+	if o.Number < before.Number || o.Number == before.Number && !o.Routes.newerThan(before.Routes) {
 		return false
 	}
-	before := d.orders
-	if o.Routes == nil || before.Routes != nil && o.Routes.Revision < before.Routes.Revision {
+	if o.Routes == nil || before.Routes.newerThan(o.Routes) {
 		o = &Orders{Number: o.Number, Routes: before.Routes, Evacuated: o.Evacuated}
 	}
 	d.orders = o
--- a/flow/routes.go
+++ b/flow/routes.go
@@ -96,6 +96,11 @@
 	return &Routes{Revision: revision, IdleMs: idleMs, byAddr: byAddr}
 }
 
+// newerThan reports whether the operator made r after other. Either may be nil for none.
+func (r *Routes) newerThan(other *Routes) bool {
+	return r != nil && (other == nil || r.Revision > other.Revision)
+}
+
 // Lookup returns the route of a service address.
 func (r *Routes) Lookup(addr netip.AddrPort) (Route, bool) {
 	route, ok := r.byAddr[addr]
--- a/internal/flowbalancer/balancer.go
+++ b/internal/flowbalancer/balancer.go
@@ -345,6 +345,7 @@
 		d.Tick(now)
 	})
 	out.Flush()
+	b.propagate(out) // there may be somebody to ask only now
 }
 
 func (b *Balancer) addPages(g *run.Group) {
--- a/internal/flowbalancer/configuration.go
+++ b/internal/flowbalancer/configuration.go
@@ -48,20 +48,26 @@
 func digestMessage(to netip.AddrPort, d propagation.Digest, now time.Time) flow.Effect {
 	return flow.Effect{Kind: flow.SendMessage, To: to, Message: flow.Message{
 		Kind: flow.Configured, Revision: d.Revision, ReadAge: flow.AgeOf(now, d.Read.At), Incarnation: d.Read.Reader,
-	}, Packet: binary.LittleEndian.AppendUint64(nil, d.Read.Number)}
+	}, Packet: appendNumbers(nil, d)}
 }
 
-// numberSize is the length of a read's number, which follows the message, in bytes.
-const numberSize = 8
+// numbersSize is the length of what follows the message, in bytes: the number of the read,
+// and that of the configuration.
+const numbersSize = 16
+
+func appendNumbers(b []byte, d propagation.Digest) []byte {
+	b = binary.LittleEndian.AppendUint64(b, d.Read.Number)
+	return binary.LittleEndian.AppendUint64(b, d.Content)
+}
 
 // onDigest takes another balancer's digest of the operator's orders, with b.mu held, and
-// adds the answer to out. A message without a number is not one of this system.
-func (b *Balancer) onDigest(now time.Time, from netip.AddrPort, m *flow.Message, number []byte, out *node.Output) {
-	if len(number) != numberSize {
+// adds the answer to out. A message without its numbers is not one of this system.
+func (b *Balancer) onDigest(now time.Time, from netip.AddrPort, m *flow.Message, numbers []byte, out *node.Output) {
+	if len(numbers) != numbersSize {
 		return
 	}
-	read := propagation.ReadMark{Number: binary.LittleEndian.Uint64(number), At: flow.ReadAt(now, m.ReadAge), Reader: m.Incarnation}
-	d := propagation.Digest{Revision: m.Revision, Read: read}
+	read := propagation.ReadMark{Number: binary.LittleEndian.Uint64(numbers), At: flow.ReadAt(now, m.ReadAge), Reader: m.Incarnation}
+	d := propagation.Digest{Revision: m.Revision, Content: binary.LittleEndian.Uint64(numbers[8:]), Read: read}
 	if answer, ok := b.plan.Receive(now, from, d); ok {
 		out.Add([]flow.Effect{digestMessage(from, answer, now)})
 	}
@@ -98,11 +104,15 @@
 	if !ok {
 		return nil, false
 	}
-	p.b.plan.Fetching(now)
-	if source.IsValid() {
-		return []netip.AddrPort{source}, true
+	to := []netip.AddrPort{source}
+	if !source.IsValid() {
+		to = p.b.director.SomeBalancers(now, node.AskAtOnce)
 	}
-	return p.b.director.SomeBalancers(now, node.AskAtOnce), true
+	if len(to) == 0 {
+		return nil, false // nobody is known yet
+	}
+	p.b.plan.Fetching(now)
+	return to, true
 }
 
 // Receiving implements node.Plan.
@@ -154,6 +164,9 @@
 	if routes == nil {
 		routes = b.director.Routes()
 	}
+	if routes != nil {
+		b.plan.ContentApplied(node.Now(), routes.Revision)
+	}
 	b.mu.Unlock()
 	if routes == nil {
 		return false
--- a/internal/node/ask.go
+++ b/internal/node/ask.go
@@ -83,6 +83,8 @@
 	http *http.Client
 	// Began, if not nil, is called when a process begins to send a newer value.
 	Began func()
+	// Content returns the number of a value's content; nil if contents have none.
+	Content func(data []byte) uint64
 
 	unanswered int  // questions in a row to which no answer began
 	whole      bool // the next value is not to be encoded against the one that is known
@@ -107,6 +109,7 @@
 	ctx      context.Context
 	exchange *transfer.Exchange
 	resp     *http.Response
+	known    uint64 // number of the content that the asker has
 	err      error
 }
 
@@ -164,7 +167,7 @@
 
 // ask sends the question to one process and waits until its answer begins.
 func (c *ValueClient) ask(ctx context.Context, process netip.AddrPort, known store.Value, limits transfer.Limits) valueAnswer {
-	a := valueAnswer{process: process}
+	a := valueAnswer{process: process, known: c.contentOf(known)}
 	a.ctx, a.exchange = transfer.Begin(ctx, limits)
 	req, err := http.NewRequestWithContext(a.ctx, http.MethodGet, "http://"+process.String()+valuePath, nil)
 	if err != nil {
@@ -174,6 +177,7 @@
 	req.Header.Set("Accept-Encoding", encodingName)
 	if known.Version != 0 {
 		req.Header.Set(versionHeader, strconv.FormatUint(known.Version, 10))
+		req.Header.Set(contentHeader, strconv.FormatUint(a.known, 10))
 	}
 	if known.Version != 0 && !c.whole {
 		req.Header.Set("If-None-Match", tagOf(known.Data))
@@ -187,6 +191,14 @@
 	return a
 }
 
+// contentOf returns the number of the content that the asker has, 0 if it has none.
+func (c *ValueClient) contentOf(known store.Value) uint64 {
+	if c.Content == nil || known.Version == 0 {
+		return 0
+	}
+	return c.Content(known.Data)
+}
+
 // judge reports why an answer brings no newer value, nil if it brings one.
 func (a *valueAnswer) judge(known store.Value) error {
 	switch a.resp.StatusCode {
@@ -195,10 +207,14 @@
 		return &RefusedValueError{Process: a.process, Status: a.resp.Status}
 	}
 	version, err := a.version()
+	if err != nil {
+		return &LostValueError{Process: a.process, Err: err}
+	}
+	content, err := headerNumber(a.resp.Header, contentHeader)
 	switch {
 	case err != nil:
 		return &LostValueError{Process: a.process, Err: err}
-	case version <= known.Version || a.resp.StatusCode == http.StatusNoContent:
+	case version <= known.Version && content <= a.known, a.resp.StatusCode == http.StatusNoContent:
 		return &NothingNewerError{Process: a.process, Version: version}
 	}
 	return nil
--- a/internal/node/encoding.go
+++ b/internal/node/encoding.go
@@ -80,6 +80,7 @@
 type encodings struct {
 	mu      sync.Mutex
 	latest  store.Value
+	content uint64 // number of the latest value's content
 	tag     string
 	earlier []taggedValue     // the newest first
 	forms   map[string][]byte // by the tag of the dictionary, "" for none
@@ -91,7 +92,7 @@
 }
 
 // set takes the value in place of the one before, which stays as a dictionary.
-func (e *encodings) set(v store.Value) {
+func (e *encodings) set(v store.Value, content uint64) {
 	tag := tagOf(v.Data)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -99,7 +100,7 @@
 		e.keep(taggedValue{e.tag, e.latest.Data})
 		e.forms = nil
 	}
-	e.latest, e.tag = v, tag
+	e.latest, e.content, e.tag = v, content, tag
 }
 
 // keep adds an earlier value, with e.mu held.
@@ -116,11 +117,12 @@
 	e.earlier = kept
 }
 
-// value returns the value and its tag, with version 0 if there is none.
-func (e *encodings) value() (store.Value, string) {
+// value returns the value, the number of its content and its tag, with version 0 if there
+// is none.
+func (e *encodings) value() (v store.Value, content uint64, tag string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.latest, e.tag
+	return e.latest, e.content, e.tag
 }
 
 // form returns the value of a tag encoded for a process that has the one with the tag
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/netip"
@@ -37,6 +38,12 @@
 	// Watch waits for a value other than the known one, and returns that if there is
 	// none in the time that the store waits. Errors: *store.HistoryLostError.
 	Watch(ctx context.Context, known store.Value) (store.Value, error)
+	// Merge returns what holds of a known value and another one, which the store or
+	// another process has. It has the higher version of the two.
+	Merge(known, other store.Value) store.Value
+	// Content returns the number that the writer gave to a value's content, 0 if none.
+	// A higher one is newer, whatever the version.
+	Content(data []byte) uint64
 }
 
 // Follower learns of each change of one value, from the store or from other processes,
@@ -52,10 +59,13 @@
 
 	served encodings // latest value that could be used
 
-	taking  sync.Mutex  // held while a value is taken: one call of Changed at a time
-	mu      sync.Mutex  // guards latest and failing
-	latest  store.Value // whether it could be used or not
-	failing bool
+	taking    sync.Mutex  // held while a value is taken: one call of Changed at a time
+	mu        sync.Mutex  // guards the fields below
+	latest    store.Value // whether it could be used or not
+	content   uint64      // its number
+	failing   bool
+	makeTaken sync.Once
+	taken     chan struct{} // closed once there is a value
 }
 
 // Run follows the key until ctx ends.
@@ -63,7 +73,7 @@
 	var duties sync.WaitGroup
 	defer duties.Wait()
 	others := NewValueClient()
-	others.Began = f.Plan.Receiving
+	others.Began, others.Content = f.Plan.Receiving, f.Source.Content
 	calls, fetches := make(chan struct{}, 1), make(chan struct{}, 1)
 	duties.Go(func() { f.calls(ctx, calls) })
 	duties.Go(func() { f.fetches(ctx, others, fetches) })
@@ -182,14 +192,38 @@
 }
 
 func (f *Follower) read(ctx context.Context) error {
-	v, err := f.Source.Read(ctx, f.known())
+	known := f.known()
+	v, err := f.Source.Read(ctx, known)
 	if err != nil {
 		return err
 	}
+	if known.Version == 0 && store.EraOf(v.Version) != 0 {
+		f.awaitOthers(ctx, v)
+	}
 	f.take(v)
 	return nil
 }
 
+// awaitOthers waits until another process has told its value, for propagation.AskFirst at
+// most. The store has come back from an older copy: what it has may be older than what
+// other processes have, and must not be undone by a process that starts.
+func (f *Follower) awaitOthers(ctx context.Context, found store.Value) {
+	begun := Now()
+	select {
+	case <-ctx.Done():
+	case <-f.hasValue():
+	case <-time.After(propagation.AskFirst):
+	}
+	f.Log.Info("others asked before the store's value is taken", zap.String("key", f.Source.Name()), VersionField("version", found.Version),
+		zap.Bool("told", f.known().Version != 0), zap.Duration("took", Now().Sub(begun)))
+}
+
+// hasValue returns the channel that is closed once there is a value.
+func (f *Follower) hasValue() chan struct{} {
+	f.makeTaken.Do(func() { f.taken = make(chan struct{}) })
+	return f.taken
+}
+
 // watch waits for the next change.
 func (f *Follower) watch(ctx context.Context) error {
 	v, err := f.Source.Watch(ctx, f.known())
@@ -200,20 +234,41 @@
 	return nil
 }
 
+// take puts what holds of the known value and v in force, if that is newer.
 func (f *Follower) take(v store.Value) {
 	f.taking.Lock()
 	defer f.taking.Unlock()
-	known := f.known().Version
-	if v.Version <= known {
+	known := f.known()
+	v = f.Source.Merge(known, v)
+	if v.Version <= known.Version && bytes.Equal(v.Data, known.Data) {
 		return
 	}
-	if known != 0 && store.EraOf(v.Version) != store.EraOf(known) {
-		f.Log.Warn("store came back from an older copy", zap.String("key", f.Source.Name()), VersionField("version", v.Version), VersionField("known", known))
+	content := f.Source.Content(v.Data)
+	if v.Version <= known.Version && content <= f.knownContent() {
+		return
 	}
-	f.mu.Lock()
-	f.latest = v
-	f.mu.Unlock()
+	if known.Version != 0 && store.EraOf(v.Version) != store.EraOf(known.Version) {
+		f.Log.Warn("store came back from an older copy", zap.String("key", f.Source.Name()), VersionField("version", v.Version), VersionField("known", known.Version), zap.Uint64("content", content))
+	}
+	f.setLatest(v, content)
 	if f.Changed(v) {
-		f.served.set(v)
+		f.served.set(v, content)
+	}
+	if known.Version == 0 {
+		close(f.hasValue())
 	}
 }
+
+// setLatest notes a value and the number of its content.
+func (f *Follower) setLatest(v store.Value, content uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.latest, f.content = v, content
+}
+
+// knownContent returns the number of the content last taken.
+func (f *Follower) knownContent() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.content
+}
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -69,8 +69,9 @@
 	// Zone returns the availability zone that a key names as evacuated for as long as
 	// the key exists.
 	Zone func(key string) (zone string, ok bool)
-	// Older reports whether the operator made configuration a before b.
-	Older func(a, b []byte) bool
+	// Number returns the number that the operator gave to a configuration; a newer one has a
+	// higher number. It is 0 if it can't be read.
+	Number func(configuration []byte) uint64
 }
 
 // OrdersSource reads the operator's orders in the store as one value. Its version is that
@@ -87,9 +88,6 @@
 
 	mu   sync.Mutex
 	seen position
-	// carried is the configuration of an earlier era that the store does not have again
-	// yet, nil if there is none.
-	carried []byte
 }
 
 // position is how far the store's history is known: a version of the orders, and the
@@ -106,12 +104,9 @@
 		return store.Value{}, err
 	}
 	before, _ := decodeKnown(known)
-	if known.Version != 0 && store.EraOf(known.Version) != store.EraOf(snapshot.Revision) {
-		s.carry(before.Configuration)
-	}
 	o := Orders{Configuration: before.Configuration}
 	for _, i := range snapshot.Items {
-		s.put(&o, i.Key, i.Data)
+		s.put(&o, i.Key, i.Data, snapshot.Revision)
 	}
 	if len(o.Configuration) == 0 {
 		return store.Value{}, &store.NotFoundError{Key: s.Keys.Configuration}
@@ -138,7 +133,7 @@
 		if c.Removed {
 			s.remove(&o, c.Key)
 		} else {
-			s.put(&o, c.Key, c.Data)
+			s.put(&o, c.Key, c.Data, upTo)
 		}
 	}
 	return s.value(&o, known, upTo), nil
@@ -154,10 +149,11 @@
 	return o, err
 }
 
-// put takes a key that holds data. Keys that are none of the orders change nothing.
-func (s *OrdersSource) put(o *Orders, key string, data []byte) {
+// put takes a key that holds data, as found at a version of the store. Keys that are none
+// of the orders change nothing.
+func (s *OrdersSource) put(o *Orders, key string, data []byte, version uint64) {
 	if key == s.Keys.Configuration {
-		o.Configuration = s.newer(data)
+		o.Configuration = s.newest(data, version, o.Configuration)
 		return
 	}
 	zone, ok := s.Keys.Zone(key)
@@ -195,25 +191,58 @@
 	return v
 }
 
-// carry keeps the configuration of an earlier era.
-func (s *OrdersSource) carry(configuration []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.carried = configuration
+// newest returns the configuration that was found at a version of the store, or the one
+// known here if that is newer.
+//
+// A store that has come back from an older copy lacks a configuration until the operator
+// has written it again; a process that took the one before from it would send callers by
+// routes that they were told are gone. A store that never did has the newest one.
+func (s *OrdersSource) newest(found []byte, version uint64, known []byte) []byte {
+	if store.EraOf(version) == 0 || !s.older(found, known) {
+		return found
+	}
+	return known
 }
 
-// newer returns the configuration that the store has, or the carried one while that is
-// newer. A store that has come back from an older copy lacks a configuration until the
-// operator has written it again; a process that took the one before from here would send
-// callers by routes that they were told are gone.
-func (s *OrdersSource) newer(configuration []byte) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.carried != nil && s.Keys.Older(configuration, s.carried) {
-		return s.carried
+// older reports whether the operator made configuration a before b. One that can't be read
+// is not older: it is refused where it is read as a whole.
+func (s *OrdersSource) older(a, b []byte) bool {
+	if len(b) == 0 {
+		return false
+	}
+	number := s.Keys.Number(a)
+	return number != 0 && number < s.Keys.Number(b)
+}
+
+// Merge implements ValueSource. Of two orders those with the higher version hold, with the
+// newer configuration of the two.
+func (s *OrdersSource) Merge(known, other store.Value) store.Value {
+	if known.Version == 0 {
+		return other
+	}
+	newer, older := known, other
+	if other.Version > known.Version {
+		newer, older = other, known
+	}
+	if store.EraOf(newer.Version) == 0 {
+		return newer
+	}
+	o, err := DecodeOrders(newer.Data)
+	before, errBefore := DecodeOrders(older.Data)
+	if err != nil || errBefore != nil || !s.older(o.Configuration, before.Configuration) {
+		return newer
+	}
+	o.Configuration = before.Configuration
+	return store.Value{Data: o.Encode(), Version: newer.Version}
+}
+
+// Content implements ValueSource: the number of the configuration.
+func (s *OrdersSource) Content(value []byte) uint64 {
+	o, err := DecodeOrders(value)
+	if err != nil || len(o.Configuration) == 0 {
+		return 0
 	}
-	s.carried = nil
-	return configuration
+	return s.Keys.Number(o.Configuration)
 }
 
 // from returns the version to wait for changes from.
--- a/internal/node/orders_test.go
+++ b/internal/node/orders_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -95,8 +96,14 @@
 
 var testKeys = OrderKeys{
 	Prefix: "orders/", Configuration: "orders/configuration",
-	Zone:  func(key string) (string, bool) { return strings.CutPrefix(key, "orders/zone/") },
-	Older: func(a, b []byte) bool { return string(a) < string(b) },
+	Zone: func(key string) (string, bool) { return strings.CutPrefix(key, "orders/zone/") },
+	Number: func(configuration []byte) uint64 {
+		number, err := strconv.ParseUint(string(configuration), 10, 64)
+		if err != nil {
+			return 0
+		}
+		return number
+	},
 }
 
 // follow reads or watches, as a process that follows the orders does.
@@ -309,3 +316,68 @@
 		}
 	})
 }
+
+// Guards against a configuration that was in force and is undone: processes that start take
+// the store's older one, the others go on with the newer one that they carried over, and
+// whoever has the higher version overrules the other.
+func TestNoProcessGoesBackToAnOlderConfiguration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const processes = 3
+		k := newKeptOrders()
+		written := 1
+		k.put("orders/configuration", strconv.Itoa(written))
+		copied := k.copy()
+		var sources [processes]*OrdersSource
+		var held [processes]store.Value
+		start := func(i int) { sources[i], held[i] = &OrdersSource{Store: k, Keys: testKeys}, store.Value{} }
+		take := func(i int, v store.Value) {
+			before := held[i]
+			held[i] = sources[i].Merge(before, v)
+			if before.Version > held[i].Version || sources[i].Content(before.Data) > sources[i].Content(held[i].Data) {
+				t.Fatalf("process %d goes back from %s with %q to %s with %q", i, store.FormatVersion(before.Version), before.Data, store.FormatVersion(held[i].Version), held[i].Data)
+			}
+		}
+		for i := range processes {
+			start(i)
+			take(i, follow(t, sources[i], held[i]))
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			i := rapid.IntRange(0, processes-1).Draw(t, "process")
+			switch rapid.SampledFrom([]string{"configure", "evacuate", "copy", "restore", "start", "follow", "follow", "take"}).Draw(t, "step") {
+			case "configure":
+				written++
+				k.put("orders/configuration", strconv.Itoa(written))
+			case "evacuate":
+				k.put("orders/zone/"+strconv.Itoa(written), "")
+			case "copy":
+				copied = k.copy()
+			case "restore":
+				k.restore(copied)
+			case "start":
+				start(i)
+			case "follow":
+				take(i, follow(t, sources[i], held[i]))
+			case "take":
+				if from := rapid.IntRange(0, processes-1).Draw(t, "from"); held[from].Version != 0 {
+					take(i, held[from])
+				}
+			}
+		}
+		newest := uint64(0)
+		for i := range processes {
+			newest = max(newest, sources[i].Content(held[i].Data))
+		}
+		for range 2 {
+			for i := range processes {
+				if next := held[(i+1)%processes]; next.Version != 0 {
+					take(i, next)
+				}
+			}
+		}
+		for i := range processes {
+			if got := sources[i].Content(held[i].Data); held[i].Version != 0 && got != newest {
+				t.Errorf("process %d has configuration %d once all have met, want %d", i, got, newest)
+			}
+		}
+	})
+}
--- a/internal/node/share.go
+++ b/internal/node/share.go
@@ -14,6 +14,8 @@
 	// versionHeader carries the value's version in the store: in a question that of the
 	// value which the asker has.
 	versionHeader = "Hemlock-Store-Version"
+	// contentHeader carries the number of the value's content in the same way.
+	contentHeader = "Hemlock-Content"
 	// dictionaryHeader carries the tag of the value that the body is encoded against.
 	dictionaryHeader = "Hemlock-Dictionary"
 	// encodingName is the encoding's name in HTTP.
@@ -23,7 +25,8 @@
 // ValuePage serves the value that f follows to other processes, so that most of them need
 // not ask the store, and one which starts while the store is away need not wait for it.
 //
-// A question tells the version and the tag of the value that the asker has. The answer is
+// A question tells the version, the content's number and the tag of the value that the
+// asker has. The answer is
 // 204 if there is nothing newer here, 304 with the version if it is the same value under a
 // newer one, and else the value, encoded against the asker's if that is kept here.
 func ValuePage(f *Follower) http.Handler {
@@ -33,19 +36,25 @@
 }
 
 func (f *Follower) serveValue(w http.ResponseWriter, r *http.Request) {
-	v, tag := f.served.value()
+	v, content, tag := f.served.value()
 	if v.Version == 0 {
 		http.Error(w, "nothing known yet", http.StatusServiceUnavailable)
 		return
 	}
-	known, err := knownVersion(r.Header)
+	known, err := headerNumber(r.Header, versionHeader)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	knownContent, err := headerNumber(r.Header, contentHeader)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	h := w.Header()
 	h.Set(versionHeader, strconv.FormatUint(v.Version, 10))
-	if v.Version <= known {
+	h.Set(contentHeader, strconv.FormatUint(content, 10))
+	if v.Version <= known && content <= knownContent {
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
@@ -82,9 +91,9 @@
 	return encoded
 }
 
-// knownVersion reads the version that an asker has, 0 if it does not tell one.
-func knownVersion(h http.Header) (uint64, error) {
-	text := h.Get(versionHeader)
+// headerNumber reads the number in a header, 0 if it is not there.
+func headerNumber(h http.Header, name string) (uint64, error) {
+	text := h.Get(name)
 	if text == "" {
 		return 0, nil
 	}
--- a/internal/node/share_test.go
+++ b/internal/node/share_test.go
@@ -23,7 +23,7 @@
 // serving starts a process that serves values over link, and returns its follower.
 func serving(t testing.TB, link *platform.Link) (*Follower, netip.AddrPort) {
 	t.Helper()
-	f := &Follower{Source: &OrdersSource{}, Changed: func(store.Value) bool { return true }, Log: zap.NewNop()}
+	f := &Follower{Source: &OrdersSource{Keys: testKeys}, Changed: func(store.Value) bool { return true }, Log: zap.NewNop()}
 	return f, listening(t, link, ValuePage(f))
 }
 
@@ -229,3 +229,25 @@
 		t.Errorf("took %v", took)
 	}
 }
+
+// Guards against a newer configuration that no process can take, since its version is the
+// same as, or lower than, that of an older configuration which the asker read in a store
+// that came back from an older copy.
+func TestNewerContentIsSentUnderALowerVersion(t *testing.T) {
+	orders := func(configuration string) []byte {
+		o := Orders{Configuration: []byte(configuration)}
+		return o.Encode()
+	}
+	f, addr := serving(t, nil)
+	kept := store.Value{Data: orders("6"), Version: store.VersionAt(1, 107)}
+	f.take(kept)
+	for _, revision := range []uint64{106, 107, 112} {
+		c := NewValueClient()
+		c.Content = f.Source.Content
+		known := store.Value{Data: orders("3"), Version: store.VersionAt(1, revision)}
+		v, err := c.Ask(context.Background(), []netip.AddrPort{addr}, known)
+		if err != nil || string(v.Data) != string(kept.Data) {
+			t.Errorf("asked with revision %d: %q, %v", revision, v.Data, err)
+		}
+	}
+}
--- a/propagation/doc.go
+++ b/propagation/doc.go
@@ -12,6 +12,11 @@
 // refused by the store, the next one takes over in the same way, at most MaxAge later. Of
 // two watchers the one with the higher identity stops.
 //
+// A store that comes back from an older copy lacks what was written last. Whoever has that
+// keeps it, and the others take it, by the number that the writer gave to the content: the
+// revision under which the store has something older may be as high. So a process that
+// starts asks the others first.
+//
 // A watch that has stopped silently looks like one without changes, so a watcher reads the
 // key as well, after every second watch without a change.
 //
--- a/propagation/node.go
+++ b/propagation/node.go
@@ -58,6 +58,11 @@
 	maxSources = 3
 )
 
+// AskFirst is how long a process that starts asks others before it puts in force what a
+// store has that came back from an older copy. Others may have something newer; above two
+// exchanges with the farthest process and one with the store.
+const AskFirst = 250 * time.Millisecond
+
 // Call is a call of the store.
 type Call uint8
 
@@ -82,7 +87,11 @@
 // read of the store that it knows.
 type Digest struct {
 	Revision uint64 // of the value that the sender has in force; 0 if none
-	Read     ReadMark
+	// Content is the number that the writer gave to what the sender has in force, 0 if it is
+	// not numbered. It tells two values apart that have the same revision: a store that came
+	// back from an older copy lacks what some processes still have.
+	Content uint64
+	Read    ReadMark
 }
 
 // ReadMark identifies a read of the store.
@@ -104,7 +113,9 @@
 	newestKnown   uint64 // newest revision that any digest or message named
 	newestKnownAt time.Time
 	behindSince   time.Time        // since when a newer value than that in force is known to exist
+	content       uint64           // number of the content in force
 	sources       []netip.AddrPort // who has the value that is missed
+	asked         netip.AddrPort   // the one of them that is being asked
 	readAfter     time.Duration    // from behindSince until the store is read
 	rejected      uint64           // the store did not have it
 	rejectedAt    time.Time
@@ -158,15 +169,28 @@
 	n.repeatsLeft, n.repeatAt = repeats, now.Add(repeatAfter)
 }
 
+// ContentApplied notes the number of the content in force. It may rise under the same
+// revision, by what another process has.
+func (n *Node) ContentApplied(now time.Time, content uint64) {
+	if content <= n.content {
+		return
+	}
+	n.content = content
+	n.sources = n.sources[:0]
+	n.digestDue = true
+	n.repeatsLeft, n.repeatAt = repeats, now.Add(repeatAfter)
+}
+
 // Receive takes the digest of another process. answer is to be sent back if ok is true: the
 // other process knows less than this one.
 func (n *Node) Receive(now time.Time, from netip.AddrPort, d Digest) (answer Digest, ok bool) {
 	n.NoteRevision(now, d.Revision)
-	if d.Revision == n.newestKnown && d.Revision > n.revision && len(n.sources) < maxSources {
+	missed := d.Revision == n.newestKnown && d.Revision > n.revision || d.Content > n.content
+	if missed && len(n.sources) < maxSources {
 		n.sources = append(n.sources, from)
 	}
 	n.receiveRead(now, d.Read)
-	return n.digest(), n.read.Number > d.Read.Number || n.revision > d.Revision
+	return n.digest(), n.read.Number > d.Read.Number || n.revision > d.Revision || n.content > d.Content
 }
 
 // NoteRevision notes that a revision exists. Whoever named it need not have the value.
@@ -339,12 +363,15 @@
 // Fetch returns the process to ask for a missing value: one that announced it, or the zero
 // value for any few of them. ok is false if there is nothing to ask for.
 func (n *Node) Fetch(now time.Time) (from netip.AddrPort, ok bool) {
-	if n.fetching || !n.Behind() {
+	if n.fetching {
 		return netip.AddrPort{}, false
 	}
 	if len(n.sources) > 0 {
 		return n.sources[0], true
 	}
+	if !n.Behind() {
+		return netip.AddrPort{}, false
+	}
 	waited := n.revision == 0 || now.Sub(n.behindSince) >= sourceAfter
 	return netip.AddrPort{}, waited && !now.Before(n.askAt)
 }
@@ -352,9 +379,12 @@
 // Fetching notes that the value is being taken from others.
 func (n *Node) Fetching(now time.Time) {
 	n.fetching = true
+	n.asked = netip.AddrPort{}
 	if len(n.sources) == 0 {
 		n.askAt = now.Add(askEvery)
+		return
 	}
+	n.asked = n.sources[0]
 }
 
 // Receiving notes that a process has begun to send the value. The store is not read
@@ -364,7 +394,7 @@
 // Fetched takes the end of it. What it brought was handed to Applied before.
 func (n *Node) Fetched() {
 	n.fetching, n.receiving = false, false
-	if n.Behind() && len(n.sources) > 0 {
+	if len(n.sources) > 0 && n.sources[0] == n.asked {
 		n.sources = n.sources[1:]
 	}
 }
@@ -387,7 +417,9 @@
 	return n.digest(), ok
 }
 
-func (n *Node) digest() Digest { return Digest{Revision: n.revision, Read: n.read} }
+func (n *Node) digest() Digest {
+	return Digest{Revision: n.revision, Content: n.content, Read: n.read}
+}
 
 // below draws a time below d.
 func below(rng *rand.Rand, d time.Duration) time.Duration {
