Agents space the packets of a path that was silent

What callers saw: when the balancers of a zone are killed and the fabric goes on handing them half of all packets, a download sometimes stands still for many seconds, and once broke after 90 s (TestFlowsSurviveZoneLoss, 'H3_REQUEST_CANCELLED (local)', longest pause 1m28s).

Hypotheses: (a) the agent sends by ways that are gone, (b) the agent sends and what the callers answer is lost, (c) the agent's QUIC does not send at all. Told apart by a trial on a scratch copy: 60 to 80 downloads, two of four balancers killed, and a record of each datagram in the fabric beside the agent's sends. Of ten runs (700 downloads), nine downloads paused for 1.4 to 57.6 s. In each, the agent's datagrams reached the caller at the moments of its QUIC's probe timer, and the one acknowledgement went to a balancer that was gone:

PAUSE 6.15s: 0< 0< 0< 0< 0x 879< 879< 879x 2637< 2637< 2637< 2637< 2637x 6152< PAUSE 57.6s: ... 27972< 27972< 27972x 35472x 35507> ...

(< to the caller, > from it, x from it to a dead balancer). The agent's sends of the last one are 1.75, 3.5, 7, 14 and 28 s apart, on ways graded usable. So (b): QUIC sends two packets when its timer fires, both arrive at once, the caller answers with one acknowledgement, half of these are lost, and each loss doubles the timer. The caller's own keep-alives arrive meanwhile and change nothing: they acknowledge nothing.

Provoked at will: TestFlowsSurviveLostFirstAcknowledgements loses the first datagram of a caller after each silence. On the code before it breaks as listed ('after 1m30.0s: broken flow: after 111615 bytes: H3_REQUEST_CANCELLED (local)').

Change: for ten seconds after a path was silent the last packet of each burst is kept back for 30 ms, longer than a caller delays an acknowledgement. Two packets are then answered by two datagrams, which the fabric hands to balancers independently: a probe fails in one of four cases in place of one of two, and small windows no longer end in a timer each second time. Weighed and dropped: copies of packets (a QUIC receiver drops them without an answer), a new virtual address of the caller, so that QUIC takes it for a migration (needs two more exchanges on the lossy way, and a connection ID that the caller may not have given). The library's timer itself can't be bounded.

The cost: up to 30 ms for the last packet of a burst, on paths that were silent in the last ten seconds.

--- a/internal/agent/packetconn.go
+++ b/internal/agent/packetconn.go
@@ -185,11 +185,33 @@
 	if !ok {
 		return len(p), nil
 	}
+	now := time.Now()
+	before, kept := c.paths.space(key, p, now)
+	if before != nil {
+		c.send(key, before.packet(), now)
+	}
+	if kept != nil {
+		time.AfterFunc(ackSpacing, func() { c.sendKept(key, kept) })
+		return len(p), nil
+	}
+	c.send(key, p, now)
+	return len(p), nil
+}
+
+// sendKept sends a packet that was kept back, if no later one has had it sent.
+func (c *packetConn) sendKept(key pathKey, h *heldPacket) {
+	if now := time.Now(); c.paths.release(key, h, now) {
+		c.send(key, h.packet(), now)
+	}
+}
+
+// send sends a packet on the ways of a path. Without any it is lost, as any datagram may be.
+func (c *packetConn) send(key pathKey, p []byte, now time.Time) {
 	var routes [waysPerPath]route
-	n := c.paths.back(key, time.Now(), &routes)
+	n := c.paths.back(key, now, &routes)
 	if n == 0 {
 		c.metrics.noWay.Inc()
-		return len(p), nil // lost on the way, as any datagram may be
+		return
 	}
 	o := c.writers.Get().(*outBuffer)
 	defer c.writers.Put(o)
@@ -209,7 +231,6 @@
 			c.metrics.sendErrors.Inc()
 		}
 	}
-	return len(p), nil
 }
 
 // Close ends ReadFrom. The socket is closed by the agent.
--- a/internal/agent/paths.go
+++ b/internal/agent/paths.go
@@ -83,6 +83,7 @@
 	// have the fleet amplify a stranger's traffic towards it.
 	validated bool
 	stalled   bool // it was told of that the path stands still
+	spacing   spacing
 
 	on        *way // nil while the path looks for one
 	onSince   time.Time
@@ -269,6 +270,7 @@
 
 func (t *paths) pick(p *path, now time.Time, out *[waysPerPath]*way) (n int) {
 	if p.silent(now) {
+		p.spacing.start(now)
 		if p.on != nil {
 			p.on.failed(now, t.bestDelivery(now))
 			p.on = nil // a path counts against its way once, however long it stays silent
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -21,6 +21,8 @@
 	Reorder   float64       // share of datagrams held back by Hold
 	Hold      time.Duration // how long a reordered datagram is held back
 	Delay     time.Duration // added to every datagram, each way
+	// LoseFirst is a silence of a caller after which its next datagram is lost, 0 for none.
+	LoseFirst time.Duration
 	// CutTo and CutFrom list balancer ports whose datagrams are lost towards
 	// and from the balancer.
 	CutTo, CutFrom []uint16
@@ -64,6 +66,16 @@
 type session struct {
 	key    sessionKey
 	socket *net.UDPConn
+	sentAt time.Time // last datagram of the caller; used by the duty that reads callers
+}
+
+// breaksSilence notes a datagram of the caller, and reports whether it comes after a silence
+// of at least d.
+func (s *session) breaksSilence(d time.Duration) bool {
+	now := time.Now()
+	silent := now.Sub(s.sentAt) >= d
+	s.sentAt = now
+	return silent && d > 0
 }
 
 // Start opens a fabric.
@@ -163,6 +175,10 @@
 	f.mu.Lock()
 	port := ports[f.rng.IntN(len(ports))]
 	plan := f.plan(faults, faults.CutTo, port)
+	if s.breaksSilence(faults.LoseFirst) {
+		plan = delivery{}
+		f.counts.Lost++
+	}
 	f.counts.ToBalancers++
 	f.mu.Unlock()
 	to := netip.AddrPortFrom(netip.AddrFrom4(s.key.service), port)
--- a/test/survive_test.go
+++ b/test/survive_test.go
@@ -195,3 +195,17 @@
 		}
 	}
 }
+
+// TestFlowsSurviveLostFirstAcknowledgements guards against a download that stands still once
+// each acknowledgement that the caller sends by itself is lost: QUIC sends two packets when
+// its timer fires, one acknowledgement answers both, and the timer doubles each time.
+func TestFlowsSurviveLostFirstAcknowledgements(t *testing.T) {
+	t.Parallel()
+	const outage, silence = 400 * time.Millisecond, 100 * time.Millisecond
+	f := fleet.Start(t, kanatpar())
+	l := openFlows(t, f, flowsOfEach, 5*time.Second)
+	f.Fabric.SetFaults(fabric.Faults{CutTo: f.Ports()})
+	pause(outage)
+	f.Fabric.SetFaults(fabric.Faults{LoseFirst: silence})
+	l.wait()
+}
