Of two processes that watch the store the one with the earlier read stops

Hypotheses: (a) two processes draw nearly the same age and both begin to watch, (b) the one that has to stop never learns that the other one watches, (c) a process is told to stop and begins again. (a) happens and is harmless by itself; (b) is the fault.

Cause: the one with the higher identity was to stop when it received a read of the other one. But a read is sent on, and looked at, only if it is later than the latest one known. Where the one with the higher identity is a read ahead, it never takes one of the other's; the other takes each of its reads, and has the lower identity, so it goes on too. Each change ends both watches and keeps the distance as it is.

Change: reads are ordered already, by their number and then by identity. A watcher stops when it receives a read of another watcher that is later than all it knows. Of two, one always receives such a read, and never both: each would have to have made the later one (TestNotAllWatchersStop, in random orders of reads and messages, 20,000 orders by hand). It stops at once, not at the end of the next call.

Sight: balancers log 'watch of the store' when they begin or cease to watch for all.

--- a/internal/flowbalancer/balancer.go
+++ b/internal/flowbalancer/balancer.go
@@ -77,6 +77,7 @@
 
 	stopping   atomic.Bool
 	saidReady  atomic.Bool   // what the readiness page said last
+	watches    atomic.Bool   // whether this process watched the store for all when that was logged
 	callerAt   atomic.Int64  // node.Now of the last caller's packet, in ns
 	due        chan struct{} // the follower may have something to do
 	kick       chan struct{}
--- a/internal/flowbalancer/configuration.go
+++ b/internal/flowbalancer/configuration.go
@@ -30,7 +30,11 @@
 		to = b.director.SomeBalancers(now, propagation.Fanout)
 	}
 	due := b.plan.Due(now)
+	watches := b.plan.Watches()
 	b.mu.Unlock()
+	if b.watches.Swap(watches) != watches {
+		b.log.Info("watch of the store", zap.Bool("for_all", watches), zap.Uint64("read", digest.Read.Number))
+	}
 	for _, addr := range to {
 		out.Add([]flow.Effect{digestMessage(addr, digest, now)})
 	}
--- a/propagation/doc.go
+++ b/propagation/doc.go
@@ -10,7 +10,7 @@
 // age. Each process draws an age; the one whose draw is the lowest reads when the latest
 // read gets as old, and goes on as the watcher. If the watcher is killed, cut off or
 // refused by the store, the next one takes over in the same way, at most MaxAge later. Of
-// two watchers the one with the higher identity stops.
+// two watchers the one whose read is the earlier one stops.
 //
 // A store that comes back from an older copy lacks what was written last. Whoever has that
 // keeps it, and the others take it, by the number that the writer gave to the content: the
--- a/propagation/node.go
+++ b/propagation/node.go
@@ -123,13 +123,12 @@
 	receiving     bool      // a process sends the value that is missed
 	askAt         time.Time // when others may be asked who did not say that they have it
 
-	read           ReadMark      // the latest one known
-	maxReadAge     time.Duration // age of it at which this process reads
-	priorWatcherAt time.Time     // when a read of a watcher with a lower identity was received
-	number         uint64        // of the call under way
-	ownAt          time.Time     // latest read of this process
-	lostAt         time.Time     // since when reads of this process have failed; zero: the last one did not
-	askedAt        time.Time     // when others were asked for a later read than the one known; zero: not yet
+	read       ReadMark      // the latest one known
+	maxReadAge time.Duration // age of it at which this process reads
+	number     uint64        // of the call under way
+	ownAt      time.Time     // latest read of this process
+	lostAt     time.Time     // since when reads of this process have failed; zero: the last one did not
+	askedAt    time.Time     // when others were asked for a later read than the one known; zero: not yet
 
 	watcher  bool
 	calling  bool
@@ -154,6 +153,9 @@
 // is in force.
 func (n *Node) Behind() bool { return n.revision == 0 || n.newestKnown > n.revision }
 
+// Watches reports whether this process watches the store for all.
+func (n *Node) Watches() bool { return n.watcher }
+
 // ReadAt returns when the store was last read by any process, as far as known.
 func (n *Node) ReadAt() time.Time { return n.read.At }
 
@@ -209,6 +211,10 @@
 // receiveRead takes a read. It is sent on if it is later than the latest one known, or has
 // the same number and was made by a watcher with a lower identity: the other watcher has to
 // receive it to stop.
+//
+// A watcher stops when it receives such a read of another one. Reads are ordered, so of two
+// watchers one always receives the other's and goes on alone; by their identities alone the
+// one that has to stop may never receive a read that it takes.
 func (n *Node) receiveRead(now time.Time, r ReadMark) {
 	if r.Number > maxNumber {
 		return
@@ -218,8 +224,8 @@
 	if !later && !hasPriority {
 		return
 	}
-	if r.Reader != 0 && r.Reader < n.self {
-		n.priorWatcherAt = now
+	if n.watcher && r.Reader != 0 && r.Reader != n.self {
+		n.watcher = false
 	}
 	n.digestDue = true
 	n.read.Reader = r.Reader
@@ -292,9 +298,6 @@
 		n.watcher = false // the others' draws find one that the store serves
 		n.callAt = now.Add(n.backoff())
 	}
-	if n.priorWatcherAt.After(begun.Add(-Wait / 2)) {
-		n.watcher = false // another one with a lower identity watches
-	}
 }
 
 // watchRefused has watches that fail in a row begin no more often than those that see no
