Whoever hears of the store's return acts on it and tells the others

Hypotheses: (a) nobody reads the store for a while, so nobody knows; (b) the agents hear of it late though balancers know; (c) the agent knows and writes its key late. The listed trace has all three parts (1.1 s until the first read, 0.8 s until the agent's next greeting, up to 0.5 s of spread calls), and an own answer in the new era after 40 ms that nobody looked at.

Causes and changes, in the order of what they cost: - after a start of the whole fleet nobody watches: while no process is known to have watched, the draws lie between 150 and 600 ms. A process that starts beside others learns of the watcher with the answer to its first digest, and makes no call more; - the era of a process's own answers is acted on, and told: an agent's messages and a balancer's digest then name an orders' version that the others lack, so that one reads; - a balancer that puts the first orders of an era in force greets the agents of its zone at once, and not when the next greeting is due; - the first three repeats of a read that failed are no longer spaced further and further: in the model a store that was away for 300 ms was read up to 0.6 s after its return.

Left: if the process that watches for all ends in the same moment as the store comes back, and no other process calls the store, the next draw is up to 2.4 s away.

--- a/flow/orders.go
+++ b/flow/orders.go
@@ -163,9 +163,23 @@
 	until time.Time // the operator may not have written all of its orders again before
 }
 
+// StoreRestored notes that orders numbered first, or above, are read after the store has
+// come back from an older copy. The agents of the balancer's own zone are greeted at once:
+// what the store held of them may be gone, and has to be there again before the next
+// greeting is due.
+func (d *Director) StoreRestored(now time.Time, first uint64) {
+	for _, a := range d.agents {
+		if a.local {
+			a.helloAt = now
+		}
+	}
+}
+
 // StoreRestored notes that orders numbered first, or above, were read after the store had
-// come back from an older copy.
+// come back from an older copy. Balancers are told with the agent's messages: they may not
+// have read the store since.
 func (g *Gate) StoreRestored(now time.Time, first uint64) {
+	g.seen = max(g.seen, first)
 	g.restored = restored{first: first, until: now.Add(rewriteTime)}
 }
 
--- a/internal/flowagent/agent.go
+++ b/internal/flowagent/agent.go
@@ -125,6 +125,8 @@
 		Found: a.introduce,
 		Wrong: node.NewWrongKeys(reg),
 		Log:   log,
+
+		Restored: a.storeRestored,
 	}
 	registerMetrics(reg, a)
 	return a, nil
@@ -298,6 +300,12 @@
 	a.introducer.HeardOf(number)
 }
 
+// storeRestored notes what an answer of the store told this agent itself. Balancers hear of
+// it with the agent's next messages.
+func (a *Agent) storeRestored(version uint64) {
+	a.event(func(now time.Time) { a.hearOfEra(a.gate, now, version) })
+}
+
 // readServer is the duty that takes the server's packets.
 func (a *Agent) readServer() error {
 	r, out := udp.NewReader(a.server), a.output()
--- a/internal/flowbalancer/balancer.go
+++ b/internal/flowbalancer/balancer.go
@@ -25,6 +25,7 @@
 	"github.com/hemlockscale/hemlockscale/flow"
 	"github.com/hemlockscale/hemlockscale/internal/flowframe"
 	"github.com/hemlockscale/hemlockscale/internal/node"
+	"github.com/hemlockscale/hemlockscale/internal/store"
 	"github.com/hemlockscale/hemlockscale/internal/tracing"
 	"github.com/hemlockscale/hemlockscale/internal/udp"
 	"github.com/hemlockscale/hemlockscale/propagation"
@@ -72,6 +73,7 @@
 	wrongKeys  prometheus.Counter
 
 	mu       sync.Mutex
+	era      store.Era // of the store, by the orders in force
 	director *flow.Director
 	plan     *propagation.Node // how the configuration gets here and on to others
 
@@ -217,10 +219,15 @@
 	next := b.director.NextTick(now)
 	b.mu.Unlock()
 	if next.UnixNano() < b.sleepUntil.Load() {
-		select {
-		case b.kick <- struct{}{}:
-		default:
-		}
+		b.wake()
+	}
+}
+
+// wake has the ticking duty look at once what is due.
+func (b *Balancer) wake() {
+	select {
+	case b.kick <- struct{}{}:
+	default:
 	}
 }
 
@@ -323,9 +330,19 @@
 		Found: b.introduce,
 		Wrong: b.wrongKeys,
 		Log:   b.log,
+
+		Restored: b.storeRestored,
 	}
 }
 
+// storeRestored notes what an answer of the store told this balancer beside the operator's
+// orders: there is a newer version of them.
+func (b *Balancer) storeRestored(version uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.plan.NoteRevision(node.Now(), version)
+}
+
 func (b *Balancer) addIntroducer(g *run.Group) {
 	g.Add(func() error { return b.introducer.Run(b.ctx) }, func(error) { b.cancel() })
 }
--- a/internal/flowbalancer/configuration.go
+++ b/internal/flowbalancer/configuration.go
@@ -161,6 +161,7 @@
 	routes := b.routesOf(o.Configuration)
 	b.mu.Lock()
 	configured := b.director.Routes()
+	restored := b.hearOfEra(start, v.Version)
 	taken := b.director.SetOrders(start, flow.NewOrders(v.Version, routes, o.Evacuated))
 	if taken {
 		b.plan.Applied(node.Now(), v.Version)
@@ -172,6 +173,9 @@
 		b.plan.ContentApplied(node.Now(), routes.Revision)
 	}
 	b.mu.Unlock()
+	if restored {
+		b.wake()
+	}
 	if routes == nil {
 		return false
 	}
@@ -186,6 +190,19 @@
 	return true
 }
 
+// hearOfEra takes the version of the orders that are being put in force, with b.mu held. It
+// reports whether they are the first that were read after the store came back from an older
+// copy.
+func (b *Balancer) hearOfEra(now time.Time, version uint64) bool {
+	era := store.EraOf(version)
+	if era <= b.era {
+		return false
+	}
+	b.era = era
+	b.director.StoreRestored(now, store.VersionAt(era, 0))
+	return true
+}
+
 // routesOf reads a configuration. It returns nil for the one that was read last, and for
 // one that can't be read: the routes in force stay.
 func (b *Balancer) routesOf(configuration []byte) *flow.Routes {
--- a/internal/node/introduce.go
+++ b/internal/node/introduce.go
@@ -123,8 +123,12 @@
 	Self  Peer
 	Store Store
 	Found func(peers []Peer) // called with every list, by the introducer's goroutine
-	Wrong prometheus.Counter // keys that no process has written, each time they are read
-	Log   *zap.Logger
+	// Restored, if not nil, is called by the introducer's goroutine when an answer of the
+	// store is the first to tell that it has come back from an older copy. version is the
+	// lowest of the era since then.
+	Restored func(version uint64)
+	Wrong    prometheus.Counter // keys that no process has written, each time they are read
+	Log      *zap.Logger
 
 	mu        sync.Mutex // guards lease
 	lease     store.LeaseID
@@ -193,6 +197,30 @@
 	}
 }
 
+// hearAnswer takes the era that an answer of the store to this process tells, by the
+// versions of its items.
+func (i *Introducer) hearAnswer(items []store.Item) {
+	latest := uint64(0)
+	for n := range items {
+		latest = max(latest, items[n].Version)
+	}
+	i.hearEra(store.EraOf(latest))
+}
+
+// hearEra takes the era that an answer of the store to this process tells. The others are
+// told of it: in an idle fleet nobody else may call the store for a second or two, in which
+// their keys have to be back.
+func (i *Introducer) hearEra(era store.Era) {
+	if uint64(era) <= i.heardEra.Load() {
+		return
+	}
+	first := store.VersionAt(era, 0)
+	i.HeardOf(first)
+	if i.Restored != nil {
+		i.Restored(first)
+	}
+}
+
 // outlived reports whether a lease is of an earlier era than the latest one heard of.
 func (i *Introducer) outlived(lease store.LeaseID) bool {
 	era, _, ok := lease.Split()
@@ -304,6 +332,9 @@
 		return err
 	}
 	i.setLease(lease)
+	if era, _, ok := lease.Split(); ok {
+		i.hearEra(era)
+	}
 	i.enteredAt = time.Now()
 	i.renewAt = i.enteredAt.Add(renewEvery)
 	i.Log.Info("introduced", zap.String("key", i.Self.key()), zap.String("lease", string(lease)))
@@ -355,6 +386,7 @@
 	if err != nil {
 		return err
 	}
+	i.hearAnswer(items)
 	i.Found(i.read(items))
 	if err := i.keepOwn(ctx); err != nil {
 		return err
@@ -412,6 +444,7 @@
 	if err != nil {
 		return nil, err
 	}
+	i.hearAnswer(items)
 	for n := range items {
 		if p, err := parsePeer(items[n].Key, items[n].Data); err == nil && p == i.Self {
 			return &items[n], nil
--- a/internal/node/introduce_test.go
+++ b/internal/node/introduce_test.go
@@ -187,6 +187,35 @@
 	}
 }
 
+// Guards against an answer whose era is not looked at: the own key is looked for, and the
+// others are told, as soon as any answer shows that the store came back from an older copy.
+func TestEraOfOwnAnswerIsActedOn(t *testing.T) {
+	s := newKeyStore()
+	i, _ := introducer(s, agentPeer)
+	var told []uint64
+	i.Restored = func(version uint64) { told = append(told, version) }
+	if err := i.step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	i.setLease(store.LeaseAt(0, 7))
+	i.renewAt, i.listAt = time.Now().Add(time.Hour), time.Now()
+	s.items[balancerPeer.key()] = store.Item{Key: balancerPeer.key(), Value: store.Value{Version: store.VersionAt(1, 5)}}
+	s.items[agentPeer.key()] = store.Item{Key: agentPeer.key(), Value: store.Value{Version: store.VersionAt(0, 9)}}
+	for range 2 {
+		if err := i.step(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(told) != 1 || told[0] != store.VersionAt(1, 0) {
+		t.Errorf("told %v, want the era's first version once", told)
+	}
+	select {
+	case <-i.doubted():
+	default:
+		t.Error("the own key is not looked for")
+	}
+}
+
 // Symptom: bytes from the store grow with the square of the fleet.
 // Sequence: any.
 // Cause: every process read the keys of all; an agent deals with balancers alone.
--- a/propagation/node.go
+++ b/propagation/node.go
@@ -19,6 +19,11 @@
 	// checkEvery is the time after which a watcher reads the key beside its watches:
 	// a store that drops its history may have watches miss a change, without an error.
 	checkEvery = 2 * Wait
+	// startMinAge and startMaxAge are the same while no process is known to have watched:
+	// after a start of the whole fleet nobody does, and what happens to the store shows
+	// nowhere until somebody reads it.
+	startMinAge = 150 * time.Millisecond
+	startMaxAge = 600 * time.Millisecond
 	// answerTime is how much older than its arrival an answer of the store counts.
 	answerTime = 50 * time.Millisecond
 	// Fanout is the number of processes that a digest is sent to. A few processes are
@@ -47,10 +52,13 @@
 	storeAfter = 400 * time.Millisecond
 	storeSpan  = 400 * time.Millisecond
 	// failBase and failMax space the repeats of failed calls of the store, startMax
-	// those of a process that has no value yet and so serves nobody.
-	failBase = 150 * time.Millisecond
-	failMax  = 1800 * time.Millisecond
-	startMax = 900 * time.Millisecond
+	// those of a process that has no value yet and so serves nobody. The first failBefore
+	// repeats are not spaced further: most outages are that short, and what the store lost
+	// in one has to be found out soon.
+	failBefore = 2
+	failBase   = 150 * time.Millisecond
+	failMax    = 1800 * time.Millisecond
+	startMax   = 900 * time.Millisecond
 	// rejectedFor is how long a revision that the store did not have is ignored: it comes
 	// from a foreign or damaged message, and every process would read the store for it.
 	rejectedFor = 5 * time.Second
@@ -125,6 +133,7 @@
 
 	read       ReadMark      // the latest one known
 	maxReadAge time.Duration // age of it at which this process reads
+	watched    bool          // some process has watched, as far as known
 	number     uint64        // of the call under way
 	ownAt      time.Time     // latest read of this process
 	lostAt     time.Time     // since when reads of this process have failed; zero: the last one did not
@@ -146,7 +155,9 @@
 // New returns the state of a process that knows nothing. self tells it from the
 // others; it is drawn at random from rng.
 func New(rng *rand.Rand) *Node {
-	return &Node{self: rng.Uint64() | 1, rng: rng, maxReadAge: drawAge(rng)}
+	n := &Node{self: rng.Uint64() | 1, rng: rng}
+	n.maxReadAge = n.drawAge()
+	return n
 }
 
 // Behind reports whether a newer value than that in force is known to exist, or none
@@ -228,16 +239,30 @@
 		n.watcher = false
 	}
 	n.digestDue = true
+	n.watched = n.watched || r.Reader != 0
 	n.read.Reader = r.Reader
 	if later {
 		n.read = r
 		n.askedAt = time.Time{}
-		n.maxReadAge = drawAge(n.rng)
+		n.maxReadAge = n.drawAge()
 	}
 }
 
-// drawAge draws the age of the latest read at which a process reads.
-func drawAge(rng *rand.Rand) time.Duration { return MinAge + below(rng, MaxAge-MinAge) }
+// drawAge draws the age of the latest read at which this process reads.
+func (n *Node) drawAge() time.Duration {
+	if !n.watched {
+		return startMinAge + below(n.rng, startMaxAge-startMinAge)
+	}
+	return MinAge + below(n.rng, MaxAge-MinAge)
+}
+
+// leastAge returns the least such age.
+func (n *Node) leastAge() time.Duration {
+	if !n.watched {
+		return startMinAge
+	}
+	return MinAge
+}
 
 // StoreCall returns the call of the store that is due.
 func (n *Node) StoreCall(now time.Time) Call {
@@ -272,7 +297,7 @@
 
 // overdue reports whether the latest read known is so old that this process reads.
 func (n *Node) overdue(now time.Time) bool {
-	return now.Sub(n.read.At) >= n.maxReadAge && now.Sub(n.ownAt) >= MinAge
+	return now.Sub(n.read.At) >= n.maxReadAge && now.Sub(n.ownAt) >= n.leastAge()
 }
 
 // Called notes that a call of the store begins.
@@ -358,7 +383,7 @@
 	if n.revision == 0 {
 		longest = startMax
 	}
-	d := min(failBase<<min(n.failures, 10), longest)
+	d := min(failBase<<min(max(n.failures-failBefore, 0), 10), longest)
 	n.failures++
 	return d/2 + below(n.rng, d/2)
 }
