An evacuation that the store lost holds for processes that start, too

What callers saw: nothing yet; found by asking for evacuations what was asked for the configuration: what does a process believe that starts after the store came back from an older copy, and before the operator has written its orders again? An agent that starts in an evacuated zone then took new flows: 59, 80 and 45 in two seconds with none, one and both of two balancers restarted (TestEvacuationOutlivesProcessesThatStart, seen failing so).

Cause: only an agent that had been told of the evacuation kept to it. Balancers put the zone back into service as soon as the store's copy lacked the evacuation, and told agents that start so.

Change: a balancer goes on for the time that the operator has to write again (four seconds, as agents did before) with zones that it knew as evacuated, offers them nothing and tells their agents 'unconfirmed', a fourth order beside untold, in service and evacuated. One that has started since takes the word of agents that say that they are evacuated. For an agent 'unconfirmed' goes before 'in service' under the same number until that time is up, and the other way round afterwards; so an agent that hears balancers of both kinds keeps out of service in whichever order they speak. Numbers of the orders stay what they are, and nothing has to be written to the store.

Ruled out: evacuations carried over within the orders' value, as the configuration is. Their end has no number of its own, so their expiry would need one.

--- a/flow/director.go
+++ b/flow/director.go
@@ -192,6 +192,7 @@
 	place    placement.Config
 	regions  map[uint32]uint32 // of availability zones, both by ZoneID
 	orders   *Orders
+	lacking  lackingZones
 	seen     uint64    // number of the newest orders that anybody spoke of
 	readAt   time.Time // when somebody last read the orders in the store
 	agents   map[netip.AddrPort]*agent
@@ -377,7 +378,7 @@
 	m.Revision = d.orders.Number
 	if m.Kind.TellsOrders() {
 		if a := d.agents[to]; a != nil {
-			m.ZoneOrder = d.orders.zoneOrder(a.zone)
+			m.ZoneOrder = d.zoneOrder(a.zone)
 			m.ColdRate = d.orders.coldRate(m.Service)
 		}
 	}
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -30,10 +30,16 @@
 	ZoneUntold    ZoneOrder = iota // the sender does not know the agent's zone, or no orders
 	ZoneInService                  // takes new flows
 	ZoneEvacuated                  // gets no new flows until the operator gives it back
+	// ZoneUnconfirmed gets no new flows either: it was evacuated before the store came back
+	// from an older copy, and the operator may not have written that again yet.
+	ZoneUnconfirmed
 
-	lastZoneOrder = ZoneEvacuated
+	lastZoneOrder = ZoneUnconfirmed
 )
 
+// barsNewFlows reports whether the zone gets no new flows.
+func (o ZoneOrder) barsNewFlows() bool { return o == ZoneEvacuated || o == ZoneUnconfirmed }
+
 // Valid reports whether o is one of the orders.
 func (o ZoneOrder) Valid() bool { return o <= lastZoneOrder }
 
@@ -54,6 +60,10 @@
 	}
 	d.orders = o
 	d.seen = max(d.seen, o.Number)
+	d.lacking.update(now, before, o)
+	for _, a := range d.agents {
+		d.learnLacking(now, a)
+	}
 	d.greetChanged(now, before)
 	if !maps.Equal(before.Evacuated, o.Evacuated) {
 		d.retableAll()
@@ -76,7 +86,7 @@
 // was given back.
 func (d *Director) greetChanged(now time.Time, before *Orders) {
 	for _, a := range d.agents {
-		order := d.orders.zoneOrder(a.zone)
+		order := d.zoneOrder(a.zone)
 		if a.local && (order != before.zoneOrder(a.zone) || order == ZoneInService && a.state == ServerEvacuated) {
 			a.helloAt = now
 		}
@@ -106,6 +116,15 @@
 	return ZoneInService
 }
 
+// zoneOrder returns the order for an availability zone as this balancer tells it.
+func (d *Director) zoneOrder(zone uint32) ZoneOrder {
+	order := d.orders.zoneOrder(zone)
+	if order == ZoneInService && d.lacking.has(zone) {
+		return ZoneUnconfirmed
+	}
+	return order
+}
+
 // coldRate returns what a cold server of the service bears.
 func (o *Orders) coldRate(service ServiceID) ColdRate {
 	if o.Routes == nil {
@@ -118,13 +137,16 @@
 // knows. While some zone is evacuated an agent of unknown zone may not: it says its
 // zone with its first report.
 func (d *Director) inService(a *agent) bool {
-	return len(d.orders.Evacuated) == 0 || d.orders.zoneOrder(a.zone) == ZoneInService
+	return d.allInService() || d.zoneOrder(a.zone) == ZoneInService
 }
 
+// allInService reports whether no availability zone is evacuated.
+func (d *Director) allInService() bool { return len(d.orders.Evacuated) == 0 && d.lacking.none() }
+
 // evacuated reports whether all agents of a service that are known are in evacuated
 // zones. Its callers are refused at once: waiting serves them nothing.
 func (d *Director) evacuated(id ServiceID) bool {
-	if len(d.orders.Evacuated) == 0 {
+	if d.allInService() {
 		return false
 	}
 	known := false
@@ -132,7 +154,7 @@
 		if a.service != id || a.gone() {
 			continue
 		}
-		if d.orders.zoneOrder(a.zone) != ZoneEvacuated {
+		if !d.zoneOrder(a.zone).barsNewFlows() {
 			return false
 		}
 		known = true
@@ -153,44 +175,6 @@
 	cold    ColdRate
 }
 
-// rewriteTime is how long an evacuation of before the store came back from an older copy
-// stays in force although the store lacks it: the operator writes it again in that time.
-const rewriteTime = 4 * time.Second
-
-// restored is what an agent knows of the store's last return from an older copy.
-type restored struct {
-	first uint64    // orders with numbers from this one on were read after it
-	until time.Time // the operator may not have written all of its orders again before
-}
-
-// StoreRestored notes that orders numbered first, or above, are read after the store has
-// come back from an older copy. The agents of the balancer's own zone are greeted at once:
-// what the store held of them may be gone, and has to be there again before the next
-// greeting is due.
-func (d *Director) StoreRestored(now time.Time, first uint64) {
-	for _, a := range d.agents {
-		if a.local {
-			a.helloAt = now
-		}
-	}
-}
-
-// StoreRestored notes that orders numbered first, or above, were read after the store had
-// come back from an older copy. Balancers are told with the agent's messages: they may not
-// have read the store since.
-func (g *Gate) StoreRestored(now time.Time, first uint64) {
-	g.seen = max(g.seen, first)
-	g.restored = restored{first: first, until: now.Add(rewriteTime)}
-}
-
-// mayLack reports whether orders that put the zone back into service may merely lack its
-// evacuation, which the operator has yet to write again. Acted on, they would bring new
-// flows into a zone that is evacuated; a zone that was really given back waits for some
-// seconds more.
-func (g *Gate) mayLack(now time.Time, zone ZoneOrder) bool {
-	return zone == ZoneInService && g.evacuated() && g.told.number < g.restored.first && now.Before(g.restored.until)
-}
-
 // hearOrders takes what a balancer tells of the operator's orders. Balancers learn them
 // unevenly: of all that were told the one with the highest number counts.
 func (g *Gate) hearOrders(now time.Time, m *Message) {
@@ -200,7 +184,8 @@
 	if g.mayLack(now, m.ZoneOrder) {
 		return
 	}
-	if m.Revision == g.told.number && (m.Service == g.told.service || m.Service != g.server.service) {
+	known := m.Service == g.told.service || m.Service != g.server.service
+	if m.Revision == g.told.number && known && !g.overrules(now, m.ZoneOrder) {
 		return
 	}
 	before := g.State(now)
@@ -216,4 +201,4 @@
 }
 
 // evacuated reports whether the agent's zone gets no new flows.
-func (g *Gate) evacuated() bool { return g.told.zone == ZoneEvacuated }
+func (g *Gate) evacuated() bool { return g.told.zone.barsNewFlows() }
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -111,9 +111,10 @@
 		a.young = m.Reason == ReasonStarted
 		a.zone, a.local = m.Zone, m.Zone == ZoneID(d.cfg.Zone)
 	}
-	if d.orders.zoneOrder(before.zone) != d.orders.zoneOrder(a.zone) {
+	if d.zoneOrder(before.zone) != d.zoneOrder(a.zone) {
 		a.helloAt = now // it has not been told yet
 	}
+	d.learnLacking(now, a)
 	d.load.Report(from, m.Occupancy, now)
 	if !known || before.service != a.service || before.takesFlows() != a.takesFlows() || before.zone != a.zone || before.gone() != a.gone() {
 		d.retable(before.service)
@@ -200,6 +201,7 @@
 	}
 	d.tickAt = now
 	d.lookForStart(now)
+	d.expireLacking(now)
 	d.expireOffers(now)
 	d.expireReturns(now)
 	d.askRoster(now)
--- a/test/packets/restore_start_test.go
+++ b/test/packets/restore_start_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hemlockscale/hemlockscale/internal/standin/platform"
 )
@@ -128,3 +129,45 @@
 		d.t.Errorf("%s had configuration %d in force", v.addr, revision)
 	}
 }
+
+// Guards against new flows in an evacuated zone, to an agent that starts after the store came
+// back from a copy of before the evacuation and before the operator has written it again, by
+// balancers of which some start then too.
+func TestEvacuationOutlivesProcessesThatStart(t *testing.T) {
+	for _, restarted := range []int{0, 1, 2} {
+		t.Run(fmt.Sprintf("%d balancers start", restarted), func(t *testing.T) {
+			d := start(t, 2, "listing", "listing/b", "listing/b")
+			c := d.store.Copy()
+			d.evacuate("b")
+			inB := d.agents[1:]
+			for _, v := range inB {
+				d.await("the agent knows", func() bool { return v.says("evacuated") })
+			}
+			before := inB[0].server.Flows() + inB[1].server.Flows()
+			rewrite := d.restoreOnly(c)
+			d.awaitRestoreNoticed()
+			begun := time.Now()
+			for _, b := range d.balancers[:restarted] {
+				b.process.Kill()
+				b.startProcess()
+				d.await("the new process has the configuration", func() bool { return b.inForce(d.revision) })
+			}
+			inB[0].process.Kill()
+			inB[0].startProcess()
+			d.await("the new process knows its server", func() bool { return strings.Contains(inB[0].process.Log(), `"msg":"server"`) })
+			for time.Since(begun) < rewriteAfter {
+				d.serve(4, 10, "listing")
+			}
+			rewrite()
+			d.serve(4, 10, "listing")
+			if after := inB[0].server.Flows() + inB[1].server.Flows(); after > before {
+				t.Errorf("%d new flows in the evacuated zone", after-before)
+			}
+			d.giveBack("b")
+			d.await("the zone serves again", func() bool {
+				d.serve(1, 5, "listing")
+				return inB[0].server.Flows()+inB[1].server.Flows() > before
+			})
+		})
+	}
+}
