A search goes on with the first packet that has data

What callers saw: after an agent was restarted, an open flow that another balancer looked for was not answered for as long as the caller's acknowledgements went before its requests.

Cause: a balancer looks for a flow with the packet that came first, and keeps the next ones for whoever holds the flow. An agent that has restarted does not know what its server holds; it passes the packet on and learns from the server's reaction. To a packet without data the server does not react, so the agent can't answer, and the request that it would have answered is kept. After the retransmission time the next packet takes the first one's place: again the acknowledgement.

Change: the first packet with data goes on with the search at once, in place of one without; one without data never takes the place of one with data, and is kept.

After: found with the first request. A search asks once more where its first packet had no data; what the other agents have answered holds.

--- a/flow/find.go
+++ b/flow/find.go
@@ -185,20 +185,25 @@
 // kept until an agent says that it holds the flow: asking all with each packet
 // of a download would take a small VM's whole processor. A packet that comes
 // after a caller's retransmission time is another try at those that have not
-// answered; what the others have said holds.
+// answered, and so is the first one with data: an agent that has restarted learns from
+// its server's reaction whether the server holds the flow, and a server does not react to
+// a packet without data. What the others have said holds.
 func (d *Director) seekAgain(now time.Time, e *entry, s *Segment, packet []byte) {
 	k := e.seek
-	if now.Sub(k.since) >= retransmission {
-		k.since = now
+	first := s.Data > 0 && k.segment.Data == 0
+	due := now.Sub(k.since) >= retransmission
+	if replaces := s.Data > 0 || k.segment.Data == 0; replaces && (first || due) {
 		k.segment = *s
 		k.packet = append(k.packet[:0], packet...)
-		d.ask(k, d.unanswering(k))
-		d.conclude(now, k)
-		return
-	}
-	if !k.keep(packet) {
+	} else if !k.keep(packet) {
 		d.drop(ReasonOverflow)
 	}
+	if !first && !due {
+		return
+	}
+	k.since = now
+	d.ask(k, d.unanswering(k))
+	d.conclude(now, k)
 }
 
 // keep copies a packet for whoever holds the flow, into memory of an earlier
--- /dev/null
+++ b/flow/restart_test.go
@@ -0,0 +1,47 @@
+package flow
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// Guards against a flow that is never found although its server lives: the agent beside it is
+// restarted, and the packet by which another balancer looks for the flow has no data, so that
+// the server does not react to it.
+func TestFlowSoughtByAcknowledgementIsFoundAfterAgentRestart(t *testing.T) {
+	const down, repeat, tries = 400 * time.Millisecond, 400 * time.Millisecond, 8
+	w := newWorld(t, 3)
+	c := w.caller(1000, listingPort)
+	c.open(balancerA, 0)
+	c.request(balancerA)
+	n := c.holders()[0]
+	home := w.agents[agentAddr(n)]
+	w.cut = func(from, to netip.AddrPort) bool { return from == agentAddr(n) || to == agentAddr(n) }
+	w.pass(down / 2)
+	c.acknowledge(balancerB)
+	w.pass(down / 2)
+	w.cut = nil
+	w.restartAgent(n)
+	w.beat(n, home.server.sequence+1, false)
+	before := c.served()
+	for range tries {
+		c.acknowledge(balancerB)
+		c.request(balancerB)
+		if c.served() > before {
+			return
+		}
+		w.pass(repeat)
+	}
+	t.Errorf("no answer in %d tries, %d resets", tries, len(w.resets))
+}
+
+// acknowledge sends a packet without data on the open flow.
+func (c *testCaller) acknowledge(to netip.AddrPort) {
+	c.w.t.Helper()
+	a, ok := c.answer()
+	if !ok {
+		c.w.t.Fatal("the flow was not answered")
+	}
+	c.send(to, Segment{Seq: c.seq + 1, Ack: a.Seq + 1, HasAck: true})
+}
