A balancer greets at most 64 agents out of turn after the store's return

A balancer that learns that the store came back from an older copy greets the agents of its zone at once, so that they look for their keys. Nothing changes below 64 agents a zone.

--- a/flow/restored.go
+++ b/flow/restored.go
@@ -68,7 +68,7 @@
 }
 
 // StoreRestored notes that orders numbered first, or above, are read after the store has
-// come back from an older copy. The agents of the balancer's own zone are greeted at once:
+// come back from an older copy. Agents of the balancer's own zone are greeted at once:
 // what the store held of them may be gone, and has to be there again before the next
 // greeting is due.
 func (d *Director) StoreRestored(now time.Time, first uint64) {
@@ -76,11 +76,17 @@
 	d.greetOwnZone(now)
 }
 
-// greetOwnZone has the agents of the balancer's own zone greeted at once.
+// greetAtOnce bounds the agents that one balancer greets out of turn. Each takes others, so
+// the balancers of a zone reach nearly all of its agents together.
+const greetAtOnce = 64
+
+// greetOwnZone has agents of the balancer's own zone greeted at once.
 func (d *Director) greetOwnZone(now time.Time) {
+	greeted := 0
 	for _, a := range d.agents {
-		if a.local {
+		if a.local && greeted < greetAtOnce {
 			a.helloAt = now
+			greeted++
 		}
 	}
 }
