--- a/flow/beliefs.go
+++ b/flow/beliefs.go
@@ -9,18 +9,21 @@
 
 // DirectorBeliefs is what a balancer believes at one moment, for operators.
 type DirectorBeliefs struct {
-	Revision  uint64           `json:"revision"`     // of the configuration in force, 0 for none
-	Orders    uint64           `json:"orders"`       // number of the operator's orders in force, 0 for none
-	Newest    uint64           `json:"newest_heard"` // newest orders that any process spoke of
-	Routes    int              `json:"routes"`       // in force
-	Evacuated []uint32         `json:"evacuated"`    // availability zones that get no new flows, by ZoneID
-	ReadAge   time.Duration    `json:"read_age_ns"`  // of the latest read of the orders by any process, negative if never
-	Ready     bool             `json:"ready"`        // takes callers' packets
-	Complete  bool             `json:"knows_all"`    // knows every agent that may hold a flow
-	Flows     int              `json:"flows"`        // remembered
-	Agents    []AgentBelief    `json:"agents"`       // in the order of their addresses
-	Missing   []netip.AddrPort `json:"missing"`      // agents that fell silent without a word
-	Balancers []netip.AddrPort `json:"other_balancers"`
+	Revision  uint64   `json:"revision"`     // of the configuration in force, 0 for none
+	Orders    uint64   `json:"orders"`       // number of the operator's orders in force, 0 for none
+	Newest    uint64   `json:"newest_heard"` // newest orders that any process spoke of
+	Routes    int      `json:"routes"`       // in force
+	Evacuated []uint32 `json:"evacuated"`    // availability zones that get no new flows, by ZoneID
+	// Unconfirmed are zones that get none for as long as the operator may have yet to write
+	// its orders again, after the store came back from an older copy.
+	Unconfirmed []uint32         `json:"unconfirmed,omitempty"`
+	ReadAge     time.Duration    `json:"read_age_ns"` // of the latest read of the orders by any process, negative if never
+	Ready       bool             `json:"ready"`       // takes callers' packets
+	Complete    bool             `json:"knows_all"`   // knows every agent that may hold a flow
+	Flows       int              `json:"flows"`       // remembered
+	Agents      []AgentBelief    `json:"agents"`      // in the order of their addresses
+	Missing     []netip.AddrPort `json:"missing"`     // agents that fell silent without a word
+	Balancers   []netip.AddrPort `json:"other_balancers"`
 }
 
 // AgentBelief is what a balancer believes about one agent.
@@ -37,7 +40,7 @@
 	b := DirectorBeliefs{
 		Newest: d.seen, ReadAge: ageSince(now, d.readAt), Ready: d.Ready(), Complete: d.complete(now), Flows: len(d.flows),
 		Balancers: slices.Collect(maps.Keys(d.balancers)),
-		Orders:    d.orders.Number, Evacuated: d.evacuatedZones(),
+		Orders:    d.orders.Number, Evacuated: d.evacuatedZones(), Unconfirmed: slices.Sorted(maps.Keys(d.lacking.zones)),
 	}
 	if r := d.orders.Routes; r != nil {
 		b.Revision, b.Routes = r.Revision, r.Len()
--- a/flow/gate.go
+++ b/flow/gate.go
@@ -197,7 +197,7 @@
 		g.readAt = at
 	}
 	b := g.subscribe(now, from)
-	g.hearOrders(now, m)
+	g.receiveOrders(now, m)
 	if m.Kind == Hello {
 		b.every = max(m.Wait, ReportEvery)
 		g.reply(now, from, Message{Kind: Report}, nil)
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -175,9 +175,9 @@
 	cold    ColdRate
 }
 
-// hearOrders takes what a balancer tells of the operator's orders. Balancers learn them
+// receiveOrders takes what a balancer tells of the operator's orders. Balancers learn them
 // unevenly: of all that were told the one with the highest number counts.
-func (g *Gate) hearOrders(now time.Time, m *Message) {
+func (g *Gate) receiveOrders(now time.Time, m *Message) {
 	if m.ZoneOrder == ZoneUntold || m.Revision < g.told.number {
 		return
 	}
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -71,7 +71,7 @@
 	d.now = now
 	d.seen = max(d.seen, m.Revision)
 	d.Confirm(ReadAt(now, m.ReadAge))
-	d.heard(now, from, m)
+	d.noteSender(now, from, m)
 	switch m.Kind {
 	case Taken:
 		d.onTaken(now, from, m)
@@ -92,8 +92,8 @@
 	}
 }
 
-// heard notes what a message says about its sender.
-func (d *Director) heard(now time.Time, from netip.AddrPort, m *Message) {
+// noteSender notes what a message says about its sender.
+func (d *Director) noteSender(now time.Time, from netip.AddrPort, m *Message) {
 	a, known := d.agents[from]
 	if !known {
 		a = &agent{addr: from, introduced: now, helloAt: now}
--- a/internal/flowagent/agent.go
+++ b/internal/flowagent/agent.go
@@ -277,7 +277,7 @@
 	if !ok {
 		return
 	}
-	a.hearOfEra(g, now, m.Revision)
+	a.noteEra(g, now, m.Revision)
 	if len(packet) == 0 || !m.Kind.CarriesPacket() {
 		g.FromBalancer(now, from, &m, nil, packet)
 		return
@@ -287,23 +287,23 @@
 	}
 }
 
-// hearOfEra takes the number of the orders that a message told, with a.mu held. If it is
+// noteEra takes the number of the orders that a message told, with a.mu held. If it is
 // the first one of an era, the store has come back from an older copy: what lies there of
 // this agent, and of the operator, may be missing.
-func (a *Agent) hearOfEra(g *flow.Gate, now time.Time, number uint64) {
+func (a *Agent) noteEra(g *flow.Gate, now time.Time, number uint64) {
 	era := store.EraOf(number)
 	if era <= a.era {
 		return
 	}
 	a.era = era
 	g.StoreRestored(now, store.VersionAt(era, 0))
-	a.introducer.HeardOf(number)
+	a.introducer.NoteVersion(number)
 }
 
 // storeRestored notes what an answer of the store told this agent itself. Balancers hear of
 // it with the agent's next messages.
 func (a *Agent) storeRestored(version uint64) {
-	a.event(func(now time.Time) { a.hearOfEra(a.gate, now, version) })
+	a.event(func(now time.Time) { a.noteEra(a.gate, now, version) })
 }
 
 // readServer is the duty that takes the server's packets.
--- a/internal/flowbalancer/configuration.go
+++ b/internal/flowbalancer/configuration.go
@@ -152,7 +152,7 @@
 // takeOrders puts the operator's orders in force and reports whether they could be read.
 func (b *Balancer) takeOrders(v store.Value) bool {
 	start := node.Now()
-	b.introducer.HeardOf(v.Version)
+	b.introducer.NoteVersion(v.Version)
 	o, err := node.DecodeOrders(v.Data)
 	if err != nil {
 		b.log.Error("orders refused", zap.Error(err))
@@ -161,7 +161,7 @@
 	routes := b.routesOf(o.Configuration)
 	b.mu.Lock()
 	configured := b.director.Routes()
-	restored := b.hearOfEra(start, v.Version)
+	restored := b.noteEra(start, v.Version)
 	taken := b.director.SetOrders(start, flow.NewOrders(v.Version, routes, o.Evacuated))
 	if taken {
 		b.plan.Applied(node.Now(), v.Version)
@@ -190,10 +190,10 @@
 	return true
 }
 
-// hearOfEra takes the version of the orders that are being put in force, with b.mu held. It
+// noteEra takes the version of the orders that are being put in force, with b.mu held. It
 // reports whether they are the first that were read after the store came back from an older
 // copy.
-func (b *Balancer) hearOfEra(now time.Time, version uint64) bool {
+func (b *Balancer) noteEra(now time.Time, version uint64) bool {
 	era := store.EraOf(version)
 	if era <= b.era {
 		return false
--- a/internal/node/introduce.go
+++ b/internal/node/introduce.go
@@ -138,7 +138,7 @@
 	listAt    time.Time // when the next one is due
 	failing   bool
 	left      atomic.Bool   // the key was taken away for good
-	heardEra  atomic.Uint64 // latest era of the store that was heard of
+	latestEra atomic.Uint64 // latest era of the store that was heard of
 
 	makeDoubts sync.Once
 	doubts     chan struct{} // signalled when the store may have lost the own key; see doubted
@@ -182,40 +182,40 @@
 	return i.doubts
 }
 
-// HeardOf takes the version of a value that some process has read in the store. If it is
+// NoteVersion takes the version of a value that some process has read in the store. If it is
 // of a later era than the own lease, the store has come back from an older copy, and the
 // own key may be gone. The next renewal would show it up to 14 s later; until then nobody
 // who starts learns of this process.
-func (i *Introducer) HeardOf(version uint64) {
+func (i *Introducer) NoteVersion(version uint64) {
 	era := store.EraOf(version)
-	if uint64(era) <= i.heardEra.Load() {
+	if uint64(era) <= i.latestEra.Load() {
 		return
 	}
-	i.heardEra.Store(uint64(era))
+	i.latestEra.Store(uint64(era))
 	if i.outlived(i.leaseID()) {
 		signal(i.doubted())
 	}
 }
 
-// hearAnswer takes the era that an answer of the store to this process tells, by the
+// noteItems takes the era that an answer of the store to this process tells, by the
 // versions of its items.
-func (i *Introducer) hearAnswer(items []store.Item) {
+func (i *Introducer) noteItems(items []store.Item) {
 	latest := uint64(0)
 	for n := range items {
 		latest = max(latest, items[n].Version)
 	}
-	i.hearEra(store.EraOf(latest))
+	i.noteOwnEra(store.EraOf(latest))
 }
 
-// hearEra takes the era that an answer of the store to this process tells. The others are
+// noteOwnEra takes the era that an answer of the store to this process tells. The others are
 // told of it: in an idle fleet nobody else may call the store for a second or two, in which
 // their keys have to be back.
-func (i *Introducer) hearEra(era store.Era) {
-	if uint64(era) <= i.heardEra.Load() {
+func (i *Introducer) noteOwnEra(era store.Era) {
+	if uint64(era) <= i.latestEra.Load() {
 		return
 	}
 	first := store.VersionAt(era, 0)
-	i.HeardOf(first)
+	i.NoteVersion(first)
 	if i.Restored != nil {
 		i.Restored(first)
 	}
@@ -224,7 +224,7 @@
 // outlived reports whether a lease is of an earlier era than the latest one heard of.
 func (i *Introducer) outlived(lease store.LeaseID) bool {
 	era, _, ok := lease.Split()
-	return ok && uint64(era) < i.heardEra.Load()
+	return ok && uint64(era) < i.latestEra.Load()
 }
 
 // next returns when the next call is due.
@@ -333,7 +333,7 @@
 	}
 	i.setLease(lease)
 	if era, _, ok := lease.Split(); ok {
-		i.hearEra(era)
+		i.noteOwnEra(era)
 	}
 	i.enteredAt = time.Now()
 	i.renewAt = i.enteredAt.Add(renewEvery)
@@ -386,7 +386,7 @@
 	if err != nil {
 		return err
 	}
-	i.hearAnswer(items)
+	i.noteItems(items)
 	i.Found(i.read(items))
 	if err := i.keepOwn(ctx); err != nil {
 		return err
@@ -444,7 +444,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i.hearAnswer(items)
+	i.noteItems(items)
 	for n := range items {
 		if p, err := parsePeer(items[n].Key, items[n].Data); err == nil && p == i.Self {
 			return &items[n], nil
