--- a/flow/restart_test.go
+++ b/flow/restart_test.go
@@ -45,3 +45,32 @@
 	}
 	c.send(to, Segment{Seq: c.seq + 1, Ack: a.Seq + 1, HasAck: true})
 }
+
+// Guards against an open flow that is reset although its server lives, because the agent beside
+// it is stopped and started again while another balancer looks for the flow.
+func TestFlowIsNotResetWhileItsAgentIsStoppedAndStarted(t *testing.T) {
+	const down, repeat, tries = 500 * time.Millisecond, 400 * time.Millisecond, 8
+	w := newWorld(t, 3)
+	c := w.caller(1000, listingPort)
+	c.open(balancerA, 0)
+	c.request(balancerA)
+	n := c.holders()[0]
+	home := w.agents[agentAddr(n)]
+	home.gate.Close(w.now)
+	w.settle()
+	w.cut = func(from, to netip.AddrPort) bool { return from == agentAddr(n) || to == agentAddr(n) }
+	w.pass(down / 2)
+	c.request(balancerB)
+	w.pass(down / 2)
+	w.cut = nil
+	w.restartAgent(n)
+	w.beat(n, home.server.sequence+1, false)
+	before := c.served()
+	for range tries {
+		c.request(balancerB)
+		w.pass(repeat)
+	}
+	if len(w.resets) > 0 || c.served() == before {
+		t.Errorf("%d resets, %d answers after the restart", len(w.resets), c.served()-before)
+	}
+}
