--- a/propagation/node_test.go
+++ b/propagation/node_test.go
@@ -208,9 +208,7 @@
 // bound is the time in which a change has to be in force everywhere.
 const bound = 3 * time.Second
 
-// Symptom: the store refuses calls, and its price is the largest, in large fleets.
-// Sequence: the configuration changes again and again.
-// Cause: each process watched it, and read it beside.
+// Guards against calls of the store that grow with the number of processes.
 func TestCallsDoNotGrowWithProcesses(t *testing.T) {
 	const span, changes = 60 * time.Second, 30
 	for _, processes := range []int{1, 5, 30, 300} {
@@ -233,10 +231,8 @@
 	}
 }
 
-// Symptom: a change is in force too late, or never.
-// Sequence: the process that watches for all ends, is turned away by the store, or
-// hears nothing; the value changes right after.
-// Cause: the others rely on it.
+// Guards against a change that is not in force since the one process that watches ended, is
+// turned away, or is told nothing.
 func TestChangeArrivesWithoutTheWatcher(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -266,11 +262,8 @@
 	}
 }
 
-// The store was away for a moment. The process that watched for all gave up with the first
-// read that failed, and nobody read the store until the others' draws came, 1.5 s after
-// the last read that was answered: so long nobody noticed that the store had come back
-// from an older copy, and the keys that it had lost were missing for 2.5 s, of the 2 s in
-// which they have to be back.
+// Guards against a store that nobody reads for over a second after it was away for a moment:
+// what it lost shows to nobody as long.
 func TestStoreIsReadSoonAfterAMomentAway(t *testing.T) {
 	const away, soon = 300 * time.Millisecond, 500 * time.Millisecond
 	for _, processes := range []int{1, 2, 30} {
@@ -291,10 +284,8 @@
 	}
 }
 
-// The store answered every read and refused every watch, at once. The process that watched
-// for all read and watched by turns, 164 calls a second, as fast as the store answered: a
-// watch that fails was followed by a read without a pause, and a read that is answered by
-// a watch.
+// Guards against a store that is called as fast as it answers, since it serves reads and
+// refuses every watch.
 func TestRefusedWatchesAreSpaced(t *testing.T) {
 	const span = 20 * time.Second
 	for _, processes := range []int{1, 2, 30} {
@@ -317,12 +308,8 @@
 	}
 }
 
-// Symptom: for seven seconds no process of the fleet reads the store, and a change is in
-// force nowhere.
-// Sequence: the watcher ends while messages take long on full links; the others go on
-// telling each other of its last read.
-// Cause: an age that is told does not count the time under way. Told round and round, a
-// read seemed to become younger with each way, as fast as time went by.
+// Guards against a read that stays new while it is told round and round on full links, so
+// that nobody reads the store.
 func TestReadDoesNotGrowYoungerByBeingTold(t *testing.T) {
 	for seed := range uint64(20) {
 		f := newFleet(23, seed)
@@ -355,9 +342,7 @@
 	}
 }
 
-// Symptom: calls of the store multiply and stay so.
-// Sequence: several processes watch at once, after a start of all.
-// Cause: none of them stops.
+// Guards against several watchers that all go on after a start of everything.
 func TestOneWatcherRemains(t *testing.T) {
 	for seed := range uint64(20) {
 		f := newFleet(50, seed)
@@ -368,9 +353,8 @@
 	}
 }
 
-// Symptom: every process reads the store again and again.
-// Sequence: a damaged message names a revision that does not exist.
-// Cause: it was looked for until it came.
+// Guards against a store that every process reads again and again for a revision that a
+// damaged message names.
 func TestRevisionThatDoesNotExist(t *testing.T) {
 	f := newFleet(30, 1)
 	f.calls = 0
@@ -389,10 +373,8 @@
 	}
 }
 
-// Symptom: one process has a change in force five seconds late.
-// Sequence: it misses a value and reads the store, which answers slowly; a still newer
-// value is written, and announced, before the answer arrives.
-// Cause: the newer one counted as one that the store did not have.
+// Guards against a revision that is given up since a read that began before it was announced
+// did not find it.
 func TestNewerValueThanTheReadBeganWithIsBelieved(t *testing.T) {
 	n := New(rand.New(rand.NewPCG(1, 1)))
 	now := time.Unix(1000, 0)
--- a/test/packets/config_test.go
+++ b/test/packets/config_test.go
@@ -15,12 +15,8 @@
 	"github.com/hemlockscale/hemlockscale/test/fleet"
 )
 
-// Symptom: a balancer that was restarted stays out of rotation for as long as
-// the store turns it away, and later changes never reach it.
-// Sequence: the store answers everybody but one balancer, in one of the ways
-// that stores fail; that balancer is killed and starts; the configuration
-// changes.
-// Cause: the store is the only source of the configuration.
+// Guards against a balancer that stays out of rotation, and has no later change, for as long as
+// the store turns it away.
 func TestStoreServesSomeOnly(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -47,11 +43,8 @@
 	}
 }
 
-// Symptom: a balancer that starts while all others are gone too takes an old
-// configuration for the newest.
-// Sequence: the store is away, every balancer is killed and starts; the store
-// returns with a newer configuration.
-// Cause: what others tell is not compared with the store's own answer.
+// Guards against balancers that all started while the store was away and keep to an older
+// configuration once it is back.
 func TestStoreReturnsWithNewerConfiguration(t *testing.T) {
 	d := start(t, 2, "listing", "listing")
 	for _, b := range d.balancers {
@@ -71,11 +64,8 @@
 	d.serve(2, 5, "listing")
 }
 
-// Symptom: a change is not in force, or keys lapse, minutes after connections to
-// the store broke.
-// Sequence: every open connection to the store goes silent without an end; new
-// ones work; the configuration changes.
-// Cause: a silent connection looks like one on which nothing happens.
+// Guards against connections to the store that carry nothing and look like ones on which
+// nothing happens.
 func TestStoreConnectionsGoSilent(t *testing.T) {
 	d := start(t, 2, "listing", "listing")
 	for _, v := range append(d.balancers[:2:2], d.agents...) {
@@ -121,9 +111,8 @@
 	}
 }
 
-// Symptom: open flows stall, or a change waits, when the configuration grows.
-// Sequence: 1,500 routes are added while flows are in use, in several steps.
-// Cause: reading a large configuration holds what packets need.
+// Guards against open flows that stall, or a change that waits, while a large configuration is
+// read.
 func TestManyRoutes(t *testing.T) {
 	d := start(t, 2, "listing", "listing")
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
@@ -148,10 +137,8 @@
 	d.serve(2, 5, "listing")
 }
 
-// Symptom: a changed setting counts only from the next start of the process.
-// Sequence: the settings file changes, with a signal and without one, and once
-// to something that can't be read.
-// Cause: the file is read at the start alone.
+// Guards against changed settings that count from the next start only, and wrong ones that are
+// taken.
 func TestSettingsAreReadAgain(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -178,10 +165,8 @@
 	}
 }
 
-// Symptom: a supervisor starts a process with wrong settings again and again, since
-// its exit code says that it failed while at work.
-// Sequence: the settings file is not named, missing, or lacks what is required.
-// Cause: only wrong flags ended a process with the code for wrong settings.
+// Guards against an exit code by which a supervisor starts a process with wrong settings again
+// and again.
 func TestWrongSettingsFile(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "local.toml")
 	if err := os.WriteFile(bad, []byte(`ip = "nowhere"`), 0o600); err != nil {
--- a/test/survive_test.go
+++ b/test/survive_test.go
@@ -13,12 +13,8 @@
 
 const flowsOfEach = 4
 
-// TestFlowsSurviveBalancerKill: symptom: an open download stalls and breaks
-// after a balancer dies. Sequence: the agent last heard a caller through a
-// balancer; the balancer is killed; everything that the agent sends is lost;
-// the caller, receiving nothing, has nothing to acknowledge, so the agent never
-// hears it through another balancer. Cause: the way back followed the last
-// packet heard, without any sign that packets still come through.
+// TestFlowsSurviveBalancerKill guards against a way back that follows the last packet heard,
+// through a balancer that is gone.
 func TestFlowsSurviveBalancerKill(t *testing.T) {
 	t.Parallel()
 	f := fleet.Start(t, kanatpar())
@@ -27,10 +23,8 @@
 	l.wait()
 }
 
-// TestFlowsSurviveBalancerFreeze: symptom: flows stall, or a burst of old
-// packets confuses them. Sequence: a balancer stops running for ten seconds
-// while its sockets fill up, then runs on and forwards all of it late. Cause: a
-// frozen balancer is neither dead nor alive; its kernel still takes packets.
+// TestFlowsSurviveBalancerFreeze guards against a balancer that is neither dead nor alive: its
+// kernel takes packets, and it forwards all of them ten seconds late.
 func TestFlowsSurviveBalancerFreeze(t *testing.T) {
 	t.Parallel()
 	f := fleet.Start(t, kanatpar())
@@ -41,9 +35,8 @@
 	l.wait()
 }
 
-// TestFlowsSurviveBalancerReplaced: symptom: flows break when a balancer is
-// replaced. Sequence: SIGTERM, its linger, its end, a new process at the same
-// address, while the fabric goes on handing it packets all the time.
+// TestFlowsSurviveBalancerReplaced guards against flows that break when another process takes
+// a balancer's address.
 func TestFlowsSurviveBalancerReplaced(t *testing.T) {
 	t.Parallel()
 	f := fleet.Start(t, kanatpar())
@@ -86,10 +79,7 @@
 	l.wait()
 }
 
-// TestFlowsSurviveAgentDrain: symptom: a planned stop of the agent cuts the
-// flows that it holds. Sequence: SIGTERM to one agent of each service while
-// feeds and downloads are open; each flow runs to its end; then the processes
-// end by themselves.
+// TestFlowsSurviveAgentDrain guards against a planned stop that cuts the agent's flows.
 func TestFlowsSurviveAgentDrain(t *testing.T) {
 	t.Parallel()
 	f := fleet.Start(t, kanatpar())
@@ -106,10 +96,8 @@
 	}
 }
 
-// TestFlowsSurviveOneWayCut: symptom: long flows crawl or break. Sequence: a
-// balancer goes on receiving, but nothing that it sends reaches callers, or the
-// other way round; after five seconds the cut heals. Cause: to the agent such a
-// balancer looks alive, it is heard and it even echoes.
+// TestFlowsSurviveOneWayCut guards against a balancer that looks alive to agents, while nothing
+// that it sends, or that is sent to it, arrives.
 func TestFlowsSurviveOneWayCut(t *testing.T) {
 	t.Parallel()
 	cuts := map[string]func(port uint16) fabric.Faults{
