Soak: processes start before the operator has written its orders again

After the store came back from an older copy the operator of the soak wrote again within half a second, so that hardly a process started in between: the state in which a balancer took the older configuration. It takes up to three seconds now, of the four that the product leaves it.

--- a/test/packets/soak_faults_test.go
+++ b/test/packets/soak_faults_test.go
@@ -228,9 +228,10 @@
 }
 
 // restoreStore takes a copy of the store, or has it be away and come back from the one
-// taken before; a moment later the operator writes again what it had written.
+// taken before; the operator writes again what it had written, late enough for processes to
+// start before it has.
 func (s *soaker) restoreStore() {
-	away, rewriteAfter := s.pause(50*time.Millisecond, time.Second), s.pause(0, 500*time.Millisecond)
+	away, rewriteAfter := s.pause(50*time.Millisecond, time.Second), s.pause(0, 3*time.Second)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.copied
