Servers stay ready between heartbeats that are farther apart than their state's TTL

Cause: the state that an agent takes from a heartbeat was valid for 1.9 s, because the platform may give the server's address to another service after 2 s. In the whole fleet heartbeats come every 5 s, so every server counted as unknown, and refused flows, for 3.1 of 5 s, and each agent reported both changes to all balancers. The limit held only while the fleet was small enough for heartbeats of a second.

Change: a packet of the server confirms its state while it is valid: an address that was taken away and given to another server would have been silent for longer. Without packets the agent checks the server's status 0.4 s before the state expires; a check confirms it if the same instance answers. An agent that has just started repeats its status check until a server answers, instead of waiting for the next heartbeat, and "recently started" is bounded by time (3 s) instead of by a count of heartbeats, which is 20 s at an interval of 5 s.

Without confirmation by packets and checks a server with heartbeats every 5 s is ready for 7.6 of 20 s (by the TTL); now for 20 of 20 s, with at most one check in 1.5 s, and none while it sends packets.

--- a/flow/gate.go
+++ b/flow/gate.go
@@ -24,12 +24,15 @@
 	// that shows that the server has just started. It is below 2 because an earlier agent
 	// process may have forwarded flows between the server's first and second heartbeat.
 	justStartedSequence = 1
-	// recentlyStartedSequence is the highest sequence number of a first received heartbeat
-	// that counts as one of a recently started server: while its agent starts too, the
-	// server's first two or three heartbeats go unanswered. A server whose heartbeats were
-	// answered exceeds it within three seconds. If all processes of a fleet restart within
-	// that time, flows that the server holds may be recorded as lost.
-	recentlyStartedSequence = 4
+	// recentlyStartedTime is the time after its start in which a server counts as recently
+	// started. If all processes of a fleet restart within that time, flows that the servers
+	// hold may be recorded as lost.
+	recentlyStartedTime = 3 * time.Second
+	// minRecentlyStartedSequence and maxRecentlyStartedSequence bound the highest sequence
+	// number of a first received heartbeat that counts as one of a recently started server:
+	// while its agent starts too, the server's first heartbeats go unanswered.
+	minRecentlyStartedSequence = 2
+	maxRecentlyStartedSequence = 4
 	// recentlyStartedAge is the age of the agent process above which a first heartbeat no
 	// longer shows that the agent and its server have started together.
 	recentlyStartedAge = 2 * time.Second
@@ -137,6 +140,7 @@
 	orders           receivedOrders
 	restored         storeRestore
 	server           server
+	statusChecks     statusChecks
 	flows            map[Key]*gateFlow
 	freeFlows        []*gateFlow       // removed flows, kept for reuse
 	requests         int               // in progress
@@ -272,7 +276,7 @@
 		switch {
 		case g.holdsNoFlows(now):
 			m.Reason = ReasonNotHeld
-		case g.server.recentlyStarted && now.Sub(g.started) < fleetStartWindow:
+		case g.recentlyStarted(now):
 			m.Reason = ReasonStarted
 		}
 		m.Zone = ZoneID(g.cfg.Zone)
@@ -281,6 +285,12 @@
 	g.out = append(g.out, Effect{Kind: SendMessage, To: to, Message: m, Packet: packet})
 }
 
+// recentlyStarted reports whether the server and this process have recently started. If
+// this process has the server's every flow, the server started after it.
+func (g *Gate) recentlyStarted(now time.Time) bool {
+	return (g.server.recentlyStarted || g.complete(now)) && now.Sub(g.started) < fleetStartWindow
+}
+
 // holdsNoFlows reports whether the server holds no flow and, in its present state, gets no
 // new one.
 func (g *Gate) holdsNoFlows(now time.Time) bool {
--- a/flow/gate_config.go
+++ b/flow/gate_config.go
@@ -17,9 +17,12 @@
 	// another address are rejected; with the zero value all addresses are accepted.
 	Server netip.AddrPort
 
-	// HeartbeatTTL is how long the state given by a heartbeat stays valid. It has to be
-	// shorter than the time after which an address may be reused by another service.
-	HeartbeatTTL time.Duration
+	// StateTTL is how long the server's state stays valid after it was last confirmed. It
+	// has to be shorter than the time after which an address may be reused by another
+	// service.
+	StateTTL time.Duration
+	// HeartbeatInterval is the time between two heartbeats of the server.
+	HeartbeatInterval time.Duration
 	// AnswerTimeout is how long the server may take to answer a first packet.
 	AnswerTimeout time.Duration
 	// RequestTimeout is how long a request may count as in progress.
@@ -42,9 +45,11 @@
 
 // Defaults of GateConfig.
 const (
-	// DefaultHeartbeatTTL is below the two seconds after which the platform may give an
-	// address to another service, and above the heartbeat interval.
-	DefaultHeartbeatTTL = 1900 * time.Millisecond
+	// DefaultStateTTL is below the two seconds after which the platform may give an address
+	// to another service.
+	DefaultStateTTL = 1900 * time.Millisecond
+	// DefaultHeartbeatInterval is the interval of a small fleet.
+	DefaultHeartbeatInterval = time.Second
 	// DefaultAnswerTimeout is a hundred times a server's usual time for it, and below the
 	// time that a balancer waits for the agent.
 	DefaultAnswerTimeout = 35 * time.Millisecond
@@ -66,7 +71,8 @@
 )
 
 func (c *GateConfig) setDefaults() {
-	c.HeartbeatTTL = cmp.Or(c.HeartbeatTTL, DefaultHeartbeatTTL)
+	c.StateTTL = cmp.Or(c.StateTTL, DefaultStateTTL)
+	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, DefaultHeartbeatInterval)
 	c.AnswerTimeout = cmp.Or(c.AnswerTimeout, DefaultAnswerTimeout)
 	c.RequestTimeout = cmp.Or(c.RequestTimeout, DefaultRequestTimeout)
 	c.MaxFlows = cmp.Or(c.MaxFlows, DefaultGateFlows)
@@ -76,8 +82,17 @@
 	c.CapacityFactor = cmp.Or(c.CapacityFactor, DefaultCapacityFactor)
 }
 
-// SetLimits changes MaxAge and HeartbeatTTL of the configuration; 0 means the default.
-func (g *Gate) SetLimits(maxAge, heartbeatTTL time.Duration) {
+// SetLimits changes MaxAge, StateTTL and HeartbeatInterval of the configuration; 0 means
+// the default.
+func (g *Gate) SetLimits(maxAge, stateTTL, heartbeatInterval time.Duration) {
 	g.cfg.MaxAge = cmp.Or(maxAge, DefaultMaxAge)
-	g.cfg.HeartbeatTTL = cmp.Or(heartbeatTTL, DefaultHeartbeatTTL)
+	g.cfg.StateTTL = cmp.Or(stateTTL, DefaultStateTTL)
+	g.cfg.HeartbeatInterval = cmp.Or(heartbeatInterval, DefaultHeartbeatInterval)
+}
+
+// recentlyStartedSequence is the highest sequence number of a first received heartbeat
+// that counts as one of a recently started server.
+func (c *GateConfig) recentlyStartedSequence() uint64 {
+	sequence := 1 + uint64(recentlyStartedTime/c.HeartbeatInterval)
+	return min(max(sequence, minRecentlyStartedSequence), maxRecentlyStartedSequence)
 }
--- a/flow/gate_test.go
+++ b/flow/gate_test.go
@@ -41,9 +41,9 @@
 		t.Fatalf("offer of a records flow to a listing server: %v, %v", m.Kind, m.Reason)
 	}
 	w.server(0).unresponsive = true // sends no more heartbeats
-	w.advance(DefaultHeartbeatTTL)
+	w.advance(DefaultStateTTL)
 	if m := w.offerTo(0, listing, 1001); m.Kind != Refused || m.Reason != ReasonState {
-		t.Fatalf("offer to a server without a heartbeat for DefaultHeartbeatTTL: %v, %v", m.Kind, m.Reason)
+		t.Fatalf("offer to a server whose state was not confirmed for DefaultStateTTL: %v, %v", m.Kind, m.Reason)
 	}
 }
 
--- a/flow/server.go
+++ b/flow/server.go
@@ -21,6 +21,7 @@
 	responded         bool // a heartbeat, packet or status check has shown that a server runs
 	absent            bool // a status check found no server, and nothing has shown one since
 	lastHeartbeatAt   time.Time
+	confirmedAt       time.Time // when the state was last confirmed; see confirm
 	lastActivityAt    time.Time // of the latest packet or heartbeat
 	coldUntil         time.Time
 	coldUnknown       bool        // the server may have become cold since its latest heartbeat
@@ -54,7 +55,7 @@
 		return ServerUnknown
 	case v.draining:
 		return ServerDraining
-	case now.Sub(v.lastHeartbeatAt) >= g.cfg.HeartbeatTTL:
+	case !g.confirmed(now):
 		return ServerUnknown
 	case g.evacuated():
 		return ServerEvacuated
@@ -80,7 +81,7 @@
 	}
 	v.startTimeMs = cmp.Or(b.StartTimeMs, v.startTimeMs)
 	if v.sequence == 0 {
-		v.recentlyStarted = b.Sequence <= recentlyStartedSequence && now.Sub(g.started) <= recentlyStartedAge
+		v.recentlyStarted = b.Sequence <= g.cfg.recentlyStartedSequence() && now.Sub(g.started) <= recentlyStartedAge
 		defer g.report(now, true)
 	}
 	v.sequence = b.Sequence
@@ -92,6 +93,7 @@
 	v.unresponsive = false
 	v.lastHeartbeatAt = now
 	v.lastActivityAt = now
+	g.confirm(now)
 	if b.Slots > 0 {
 		v.slots = b.Slots
 	}
@@ -102,8 +104,8 @@
 }
 
 // accepts reports whether b is newer than the known state. A heartbeat of an unknown start
-// may be a delayed one of an older start. So while heartbeats of the current start are
-// recent, an unknown start is accepted only if it has just started or sends a further
+// may be a delayed one of an older start. So while the state of the current start is
+// confirmed, an unknown start is accepted only if it has just started or sends a further
 // heartbeat.
 func (g *Gate) accepts(now time.Time, b *Heartbeat) bool {
 	v := &g.server
@@ -118,7 +120,7 @@
 	// After the server's clock was set back, a new start has a lower start time than the
 	// old one, so the start times alone do not show which start is older.
 	older := b.Instance == v.instance && b.StartTimeMs < v.startTimeMs
-	if !v.stateKnown || now.Sub(v.lastHeartbeatAt) >= g.cfg.HeartbeatTTL || b.Sequence <= justStartedSequence && !older {
+	if !v.stateKnown || !g.confirmed(now) || b.Sequence <= justStartedSequence && !older {
 		return true
 	}
 	if v.candidate.matches(b) && b.Sequence > v.candidateSequence {
@@ -129,16 +131,16 @@
 }
 
 // fromOtherServer reports whether a heartbeat was sent by another process than the agent's
-// server: it names another address, or, while heartbeats of the server are recent, a
-// service that is neither the server's present one nor the configured one. The platform
-// gives an address to another service only after a delay longer than HeartbeatTTL.
+// server: it names another address, or, while the server's state is confirmed, a service
+// that is neither the server's present one nor the configured one. The platform gives an
+// address to another service only after a delay longer than StateTTL.
 func (g *Gate) fromOtherServer(now time.Time, b *Heartbeat) bool {
 	v := &g.server
 	if g.cfg.Server.IsValid() && b.Addr.IsValid() && b.Addr != g.cfg.Server {
 		return true
 	}
-	recent := v.stateKnown && now.Sub(v.lastHeartbeatAt) < g.cfg.HeartbeatTTL
-	return recent && b.Service != v.service && b.Service != g.cfg.Service
+	known := v.stateKnown && g.confirmed(now)
+	return known && b.Service != v.service && b.Service != g.cfg.Service
 }
 
 // recordServerStart records a new start of the server. The open flows of the start before
@@ -171,34 +173,6 @@
 	g.trace.Instance(now, v.instance, b.Sequence, v.flowsComplete)
 }
 
-// StatusCheckResult is the result of a status check.
-type StatusCheckResult struct {
-	Absent   bool   // the server's address refused the connection
-	Answered bool   // a server answered, with any status
-	Instance string // identity of the server if it is ready, otherwise empty
-}
-
-// StatusCheck processes the result of a status check, which is made while no heartbeat has
-// been received yet. After a restart of this process alone, the server's open flows go on
-// without waiting for its next heartbeat.
-func (g *Gate) StatusCheck(now time.Time, c StatusCheckResult) {
-	v := &g.server
-	if v.stateKnown {
-		return
-	}
-	v.absent = c.Absent
-	v.responded = c.Answered
-	if c.Instance == "" {
-		return
-	}
-	v.instance = c.Instance
-	v.stateKnown = true
-	v.coldUnknown = true // a status check does not show whether the server is cold
-	v.lastHeartbeatAt = now
-	v.lastActivityAt = now
-	g.stateChanged(now, ServerUnknown, "status check")
-}
-
 // Deregister records that the instance has deregistered because it ends. Deregistrations
 // of an earlier start under the same identity are ignored.
 func (g *Gate) Deregister(now time.Time, instance string, startTimeMs int64) {
@@ -246,6 +220,9 @@
 	v := &g.server
 	v.lastActivityAt = now
 	v.responded, v.absent = true, false
+	if v.stateKnown && g.confirmed(now) {
+		g.confirm(now)
+	}
 	if v.unresponsive {
 		before := g.State(now)
 		v.unresponsive = false
--- a/internal/flowagent/agent.go
+++ b/internal/flowagent/agent.go
@@ -32,7 +32,7 @@
 // Config holds the settings and dependencies of an Agent.
 type Config struct {
 	Settings node.Settings
-	Gate     flow.GateConfig // New sets Zone, Incarnation, Service, Server, MaxAge and HeartbeatTTL
+	Gate     flow.GateConfig // New sets Zone, Incarnation, Service, Server, MaxAge, StateTTL and HeartbeatInterval
 	Codec    node.PacketCodec
 	Store    node.Store
 	// Control returns the handler of the pages that the backend server calls, Readiness
@@ -45,15 +45,10 @@
 }
 
 const (
-	// checkTimeout bounds the status check at the start. A server that takes longer to
-	// answer has sent a heartbeat by then.
+	// checkTimeout bounds a status check.
 	checkTimeout = 500 * time.Millisecond
-	// checkDelay is the time from the agent's start to the status check. A server that
-	// starts together with its agent sends its first heartbeat within it, which makes the
-	// check unnecessary.
-	checkDelay = 10 * time.Millisecond
-	// reuseMargin is how long before the end of the address reuse delay the state given by
-	// the last heartbeat expires.
+	// reuseMargin is how long before the end of the address reuse delay the server's state
+	// expires.
 	reuseMargin = 100 * time.Millisecond
 	// invalidLogInterval is the minimum time between two log lines about invalid heartbeats.
 	invalidLogInterval = time.Second
@@ -77,6 +72,9 @@
 	registrar         *node.Registrar
 	heartbeatTime     prometheus.Histogram
 	invalidHeartbeats prometheus.Counter // hemlock_heartbeats_wrong_total
+	statusChecks      prometheus.Counter // hemlock_status_checks_total
+	checked           bool               // a status check was made; only the goroutine of the checks uses it
+	lastCheck         flow.StatusCheckResult
 
 	eventOutput     *node.Output // guarded by eventMu
 	invalidLoggedAt time.Time    // when an invalid heartbeat was last logged; guarded by eventMu
@@ -95,7 +93,8 @@
 	cfg.Gate.Service = flow.IDOf(s.Service)
 	cfg.Gate.Server = s.Server
 	cfg.Gate.MaxAge = s.MaxFlowAge
-	cfg.Gate.HeartbeatTTL = heartbeatTTL(s)
+	cfg.Gate.StateTTL = stateTTL(s)
+	cfg.Gate.HeartbeatInterval = s.HeartbeatInterval
 	a := &Agent{cfg: cfg, log: log, wakeup: make(chan struct{}, 1)}
 	spans, err := node.NewSpans(cfg.Traces)
 	if err != nil {
@@ -104,7 +103,8 @@
 	a.gate = flow.NewGate(node.Now(), cfg.Gate, newTracer(log, spans, reg))
 	a.heartbeatTime = node.NewLatency(reg, "hemlock_heartbeat_answer_seconds", "time to process and answer a heartbeat of the server")
 	a.invalidHeartbeats = prometheus.NewCounter(prometheus.CounterOpts{Name: "hemlock_heartbeats_wrong_total", Help: "heartbeats rejected as invalid: fields missing or of the wrong type, or an unknown state"})
-	reg.MustRegister(a.invalidHeartbeats)
+	a.statusChecks = prometheus.NewCounter(prometheus.CounterOpts{Name: "hemlock_status_checks_total", Help: "status checks of the server"})
+	reg.MustRegister(a.invalidHeartbeats, a.statusChecks)
 	a.addSeeds(s.Seeds)
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	if a.controlListener, err = net.Listen("tcp4", s.Control.String()); err != nil {
@@ -133,9 +133,9 @@
 	return a, nil
 }
 
-// heartbeatTTL returns how long the state given by a heartbeat stays valid; 0 means the
-// default.
-func heartbeatTTL(s *node.Settings) time.Duration { return max(s.AddressReuseDelay-reuseMargin, 0) }
+// stateTTL returns how long the server's state stays valid after it was last confirmed; 0
+// means the default.
+func stateTTL(s *node.Settings) time.Duration { return max(s.AddressReuseDelay-reuseMargin, 0) }
 
 // addSeeds adds the balancers named in the settings, which then receive the agent's
 // reports and add the agent to their member lists even if the store is not available. The
@@ -150,7 +150,7 @@
 func (a *Agent) Apply(s node.Settings) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.gate.SetLimits(s.MaxFlowAge, heartbeatTTL(&s))
+	a.gate.SetLimits(s.MaxFlowAge, stateTTL(&s), s.HeartbeatInterval)
 	a.addSeeds(s.Seeds)
 }
 
@@ -177,7 +177,7 @@
 	g.Add(a.tick, func(error) { a.cancel() })
 	a.addHTTPServers(&g)
 	a.addRegistrar(&g)
-	a.addStatusCheck(&g)
+	a.addStatusChecks(&g)
 	return g.Run()
 }
 
@@ -381,33 +381,42 @@
 	})
 }
 
-// addStatusCheck adds a goroutine that checks the server's status once, if no heartbeat was
-// received within checkDelay: after a restart of the agent alone, the next heartbeat may be
-// a second away.
-func (a *Agent) addStatusCheck(g *run.Group) {
+// addStatusChecks adds the goroutine that checks the server's status whenever that is due.
+func (a *Agent) addStatusChecks(g *run.Group) {
 	g.Add(func() error {
-		select {
-		case <-a.ctx.Done():
-			return nil
-		case <-time.After(checkDelay):
-		}
-		if a.serverKnown() {
-			<-a.ctx.Done()
-			return nil
+		for {
+			wait := a.untilStatusCheck()
+			if wait <= 0 {
+				a.checkStatus()
+				continue
+			}
+			select {
+			case <-a.ctx.Done():
+				return nil
+			case <-time.After(wait):
+			}
 		}
-		ctx, cancel := context.WithTimeout(a.ctx, checkTimeout)
-		defer cancel()
-		check, err := a.cfg.CheckServer(ctx, a.cfg.Settings.Server)
-		a.log.Info("server status checked", zap.String("instance", check.Instance), zap.Bool("answered", check.Answered), zap.Bool("absent", check.Absent), zap.Error(err))
-		a.handleEvent(func(now time.Time) { a.gate.StatusCheck(now, check) })
-		<-a.ctx.Done()
-		return nil
 	}, func(error) { a.cancel() })
 }
 
-// serverKnown reports whether the server's state is known.
-func (a *Agent) serverKnown() bool {
+// untilStatusCheck returns the time until the server's status has to be checked.
+func (a *Agent) untilStatusCheck() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.gate.State(node.Now()) != flow.ServerUnknown
+	now := node.Now()
+	return a.gate.NextStatusCheck(now).Sub(now)
+}
+
+// checkStatus checks the server's status. Checks whose result differs from the last one's are
+// logged.
+func (a *Agent) checkStatus() {
+	ctx, cancel := context.WithTimeout(a.ctx, checkTimeout)
+	defer cancel()
+	check, err := a.cfg.CheckServer(ctx, a.cfg.Settings.Server)
+	if !a.checked || check != a.lastCheck {
+		a.log.Info("server status checked", zap.String("instance", check.Instance), zap.Bool("answered", check.Answered), zap.Bool("absent", check.Absent), zap.Error(err))
+	}
+	a.checked, a.lastCheck = true, check
+	a.statusChecks.Inc()
+	a.handleEvent(func(now time.Time) { a.gate.StatusCheck(now, check) })
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -27,6 +27,7 @@
 	Seeds             []netip.Addr      // addresses of some balancers' VMs; may be out of date
 	MaxFlowAge        time.Duration     // age from which a flow may be discarded
 	Grace             time.Duration     // time from SIGTERM to SIGKILL
+	HeartbeatInterval time.Duration     // agents: time between two heartbeats of the backend server; 0 if unknown
 	AddressReuseDelay time.Duration     // minimum time before a server's address is given to another service
 	LinkRate          float64           // bytes per second of the VM's network link; 0 if unknown
 }
@@ -35,13 +36,14 @@
 func (s *Settings) Fields() []zap.Field {
 	return []zap.Field{
 		zap.String("vm", s.Name), zap.String("zone", s.Zone), zap.String("service", s.Service), zap.Int("seeds", len(s.Seeds)),
-		zap.Duration("max_flow_age", s.MaxFlowAge), zap.Duration("grace", s.Grace), zap.Duration("address_reuse_delay", s.AddressReuseDelay), zap.Float64("link_bytes_per_second", s.LinkRate),
+		zap.Duration("max_flow_age", s.MaxFlowAge), zap.Duration("grace", s.Grace), zap.Duration("heartbeat_interval", s.HeartbeatInterval), zap.Duration("address_reuse_delay", s.AddressReuseDelay), zap.Float64("link_bytes_per_second", s.LinkRate),
 	}
 }
 
 // ChangesNeedingRestart returns the names of the settings that differ in other and take
 // effect only when the process restarts: addresses that sockets are bound to, and what the
-// process has announced about itself. Seeds, MaxFlowAge and AddressReuseDelay apply at once.
+// process has announced about itself. Seeds, MaxFlowAge, HeartbeatInterval and
+// AddressReuseDelay apply at once.
 func (s *Settings) ChangesNeedingRestart(other *Settings) []string {
 	var list []string
 	for _, f := range []struct {
