Load of every agent is known, however many there are

Cause: a balancer's table of loads was created for no agents and had space for 64. With more agents it kept the loads of the latest senders, and all others looked equally loaded. In the whole fleet that is nine of ten agents.

Change: the table grows with the number of agents, at twice their number.

--- a/flow/director.go
+++ b/flow/director.go
@@ -41,6 +41,9 @@
 	minRetransmissionTime = 150 * time.Millisecond
 	// queueTimeout is above the longest time that an agent lets a flow wait.
 	queueTimeout = attemptTimeout + 2*DefaultOpenTimeout
+	// minLoadCapacity is the lowest number of agents that the table of loads has space
+	// for. It is kept at twice the number of agents, so that nearly none lacks space.
+	minLoadCapacity = 64
 	// sweepInterval is the time between two scans for flows that have ended.
 	sweepInterval = time.Second
 	// maxFirstPacketSize bounds the first packets that are kept for another offer, in
@@ -212,6 +215,7 @@
 	announceAt               time.Time                    // when they are sent
 
 	load             *placement.Load
+	loadCapacity     int // number of agents that load has space for
 	flows            map[Key]*entry
 	free             freeLists
 	queries          queries            // queries of lookups
@@ -249,7 +253,8 @@
 		services:     make(map[ServiceID]*service),
 		failedAgents: make(map[netip.AddrPort]time.Time),
 		balancers:    make(map[netip.AddrPort]time.Time),
-		load:         placement.NewLoad(0, placement.LoadOptions{}),
+		load:         placement.NewLoad(minLoadCapacity, placement.LoadOptions{}),
+		loadCapacity: minLoadCapacity,
 		flows:        make(map[Key]*entry),
 		queries:      newQueries(cfg.Link),
 		started:      now,
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -62,10 +62,32 @@
 	if zone != "" {
 		a.zone, a.local = ZoneID(zone), zone == d.cfg.Zone
 	}
-	d.agents[addr] = a
+	d.addToTable(now, a)
 	d.rebuildTables(id)
 }
 
+// addToTable adds an agent to the table of agents.
+func (d *Director) addToTable(now time.Time, a *agent) {
+	d.agents[a.addr] = a
+	if 2*len(d.agents) > d.loadCapacity {
+		d.growLoad(now)
+	}
+}
+
+// growLoad doubles the space for loads. A table that is too small for
+// the fleet keeps the loads of the latest senders only, and all other agents look equally
+// loaded.
+func (d *Director) growLoad(now time.Time) {
+	d.loadCapacity *= 2
+	grown := placement.NewLoad(d.loadCapacity, placement.LoadOptions{})
+	for addr := range d.agents {
+		if occupancy, age, ok := d.load.Get(addr, now); ok {
+			grown.Report(addr, occupancy, now.Add(-age))
+		}
+	}
+	d.load = grown
+}
+
 // FromAgent handles a message from an agent. s is the header of the packet that came
 // with it, or nil.
 func (d *Director) FromAgent(now time.Time, from netip.AddrPort, m *Message, s *Segment, packet []byte) {
@@ -98,7 +120,7 @@
 	a, known := d.agents[from]
 	if !known {
 		a = &agent{addr: from, addedAt: now, nextHelloAt: now}
-		d.agents[from] = a
+		d.addToTable(now, a)
 	}
 	before := *a
 	delete(d.failedAgents, from)
