A lookup's cost grows with its answers, not with their square

Cause: after each answer to a lookup all agents that were queried were checked from the start, and each answer's agent was searched for in their list. The lookup of a flow that no agent holds asks every agent.

Change: the agents are kept in order of their addresses, and the check begins after those that are known to have answered.

--- a/flow/director.go
+++ b/flow/director.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/hemlockscale/hemlockscale/placement"
@@ -153,7 +154,11 @@
 // lookup is the lookup of a flow that the balancer does not know.
 type lookup struct {
 	serial        uint64
-	targets       []lookupTarget
+	targets       []lookupTarget // ordered by address
+	// answeredPrefix is a number of targets at the start of the list that have all
+	// answered. Without it every answer would be followed by a pass over all targets,
+	// whose number is that of the fleet.
+	answeredPrefix int
 	allQueried    bool // every agent of the fleet was queried
 	startedAt     time.Time
 	lastAttemptAt time.Time // when the packet that is sent with the queries arrived
@@ -175,12 +180,28 @@
 
 // target returns the entry of an agent, nil if it was not queried.
 func (l *lookup) target(agent netip.AddrPort) *lookupTarget {
-	for i := range l.targets {
-		if l.targets[i].agent == agent {
-			return &l.targets[i]
+	i, found := l.search(agent)
+	if !found {
+		return nil
+	}
+	return &l.targets[i]
+}
+
+func (l *lookup) search(agent netip.AddrPort) (i int, found bool) {
+	return slices.BinarySearchFunc(l.targets, agent, func(t lookupTarget, a netip.AddrPort) int { return t.agent.Compare(a) })
+}
+
+// addTargets adds the agents that were not queried yet.
+func (l *lookup) addTargets(agents []netip.AddrPort) {
+	sorted := l.targets
+	for _, addr := range agents {
+		if _, found := l.search(addr); !found {
+			sorted = append(sorted, lookupTarget{agent: addr})
 		}
 	}
-	return nil
+	l.targets = sorted
+	l.answeredPrefix = 0
+	slices.SortFunc(l.targets, func(a, b lookupTarget) int { return a.agent.Compare(b.agent) })
 }
 
 // lookupRetry is the time at which agents that have not answered are queried again.
--- a/flow/lookup.go
+++ b/flow/lookup.go
@@ -132,17 +132,13 @@
 		return
 	}
 	atOnce := d.queries.idle(d.now) && len(targets) <= queryAllLimit
+	l.addTargets(targets)
 	for _, addr := range targets {
-		q := l.target(addr)
-		if q == nil {
-			l.targets = append(l.targets, lookupTarget{agent: addr})
-			q = &l.targets[len(l.targets)-1]
-		}
 		if atOnce {
 			d.sendRequest(addr, Message{Kind: Lookup}, l.packet)
 			continue
 		}
-		q.queryPending = true
+		l.target(addr).queryPending = true
 		d.queries.add(addr, l)
 	}
 	if atOnce {
@@ -260,8 +256,8 @@
 		d.endFlow(now, e, s, ReasonLost)
 	case e.state == entryPlaced && e.agent == from && s != nil:
 		d.startLookup(now, e, s, packet, false)
-		if e.lookup != nil && e.lookup.target(from) == nil {
-			e.lookup.targets = append(e.lookup.targets, lookupTarget{agent: from})
+		if e.lookup != nil {
+			e.lookup.addTargets([]netip.AddrPort{from})
 		}
 		d.recordNotHeld(now, e, from)
 	case e.state == entryLookup:
@@ -289,7 +285,10 @@
 // before all agents have answered and this balancer knows all agents, because a reset
 // breaks a flow that is still open.
 func (d *Director) conclude(now time.Time, l *lookup) {
-	for i := range l.targets {
+	for l.answeredPrefix < len(l.targets) && l.targets[l.answeredPrefix].answered {
+		l.answeredPrefix++
+	}
+	for i := l.answeredPrefix; i < len(l.targets); i++ {
 		q := &l.targets[i]
 		done := q.answered || q.uncertain && d.fleetRecentlyStarted
 		if a := d.agents[q.agent]; !done && a != nil && !d.answerOptional(now, a) {
