--- /dev/null
+++ b/flow/announce.go
@@ -0,0 +1,171 @@
+package flow
+
+import "time"
+
+const (
+	// announceInterval is how long agents are collected before they are announced to other
+	// balancers. After a power loss of the whole fleet each balancer learns of many agents
+	// within milliseconds.
+	announceInterval = 10 * time.Millisecond
+	// announceFanout is the number of balancers that an announcement is sent to. Those to
+	// which it is new announce it to as many others, so it reaches 98 of 100 balancers with
+	// four messages of each, however many there are. The others learn of the agent from the
+	// store.
+	announceFanout = 4
+	// repeatInterval is the time after which an end or a failure is announced once more, to
+	// other balancers. The store does not name ended agents, and for a balancer that does
+	// not learn of the end the agent counts as failed. Two announcements leave out three of
+	// 10,000 balancers.
+	repeatInterval = 300 * time.Millisecond
+	// maxEndAge is the age up to which an announced end is accepted. The address of an
+	// agent may be given to another one after a longer time.
+	maxEndAge = 1500 * time.Millisecond
+	// maxFailureAge is the age of an agent's last message up to which its announced failure
+	// is accepted: the time in which those that watch it notice the failure, and its spread.
+	maxFailureAge = 4 * time.Second
+)
+
+// announcements collects agents to announce to other balancers.
+type announcements struct {
+	kind    MessageKind
+	pending fifo[announcement]
+	repeats fifo[announcement] // were announced once, ordered by time
+}
+
+// announcement is an agent to announce.
+type announcement struct {
+	member member
+	at     time.Time // when it is announced
+}
+
+func (l *announcements) add(now time.Time, m member) {
+	l.pending.push(announcement{m, now.Add(announceInterval)})
+}
+
+// due returns when the next announcement is due; ok is false if there is none.
+func (l *announcements) due() (at time.Time, ok bool) {
+	for _, list := range [...]*fifo[announcement]{&l.pending, &l.repeats} {
+		if list.len() > 0 && (!ok || list.first().at.Before(at)) {
+			at, ok = list.first().at, true
+		}
+	}
+	return at, ok
+}
+
+// take removes and returns the agents to announce: once the first of the pending ones is
+// due all of them, at most as many as fit a message.
+func (l *announcements) take(now time.Time) []member {
+	var list []member
+	if l.pending.len() > 0 && !l.pending.first().at.After(now) {
+		for l.pending.len() > 0 && len(list) < membersPerMessage {
+			m := l.pending.pop().member
+			list = append(list, m)
+			if l.kind != Announce {
+				l.repeats.push(announcement{m, now.Add(repeatInterval)})
+			}
+		}
+	}
+	for l.repeats.len() > 0 && !l.repeats.first().at.After(now) && len(list) < membersPerMessage {
+		list = append(list, l.repeats.pop().member)
+	}
+	return list
+}
+
+// sendAnnouncements announces agents to other balancers when that is due.
+func (d *Director) sendAnnouncements(now time.Time) {
+	for _, l := range d.announcements() {
+		for list := l.take(now); len(list) > 0; list = l.take(now) {
+			var b []byte
+			for _, m := range list {
+				b = m.append(b, now)
+			}
+			for _, addr := range d.peers.sample(now, announceFanout, announceFanout/2) {
+				d.send(addr, Message{Kind: l.kind}, b)
+			}
+		}
+	}
+}
+
+func (d *Director) announcements() [3]*announcements {
+	return [...]*announcements{&d.learned, &d.ended, &d.failed}
+}
+
+// onAnnounced adds the agents that another balancer has learned of, or has received a
+// message from after they were announced as failed, and announces those of which this is
+// new here. An agent that starts while the store is unavailable may reach only some of the
+// balancers, and the others must not treat its flows as lost.
+func (d *Director) onAnnounced(now time.Time, members []byte) {
+	for m, rest, ok := nextMember(now, members); ok; m, rest, ok = nextMember(now, rest) {
+		known := d.agents[m.addr] != nil
+		d.mergeMember(now, m)
+		if !known || d.retractFailure(m) {
+			d.learned.add(now, m)
+		}
+	}
+}
+
+// retractFailure offers flows again to an agent that was announced as failed, if another
+// balancer has received a later message from it, and reports whether it did.
+func (d *Director) retractFailure(m member) bool {
+	a := d.agents[m.addr]
+	if !a.failureAnnounced || !m.receivedAt.After(a.failedAfter.Add(memberAgeSlack)) {
+		return false
+	}
+	a.unresponsive, a.failureAnnounced = false, false
+	d.tablesChanged(a.service)
+	return true
+}
+
+// onFailuresAnnounced excludes agents from new flows that have stopped answering another
+// balancer.
+func (d *Director) onFailuresAnnounced(now time.Time, members []byte) {
+	for m, rest, ok := nextMember(now, members); ok; m, rest, ok = nextMember(now, rest) {
+		if now.Sub(m.receivedAt) < maxFailureAge {
+			d.onFailureAnnounced(now, m)
+		}
+	}
+}
+
+// onFailureAnnounced handles the announced failure of one agent. A balancer that has
+// received a later message from the agent announces that instead: the other one may only
+// be cut off from the agent.
+func (d *Director) onFailureAnnounced(now time.Time, m member) {
+	a := d.agents[m.addr]
+	switch {
+	case a == nil || a.ended():
+	case a.lastReceivedAt.After(m.receivedAt.Add(memberAgeSlack)):
+		if !a.unresponsive {
+			d.learned.add(now, a.member())
+		}
+	case !a.unresponsive:
+		a.recordPeerContact(m)
+		a.unresponsive, a.unresponsiveSince = true, now
+		a.failureAnnounced, a.failedAfter = true, m.receivedAt
+		d.tablesChanged(a.service)
+		d.failed.add(now, m)
+		d.trace.Agent(now, a.addr, a.service, a.state, "announced as failed")
+	}
+}
+
+// onEndsAnnounced records that agents' servers have ended.
+func (d *Director) onEndsAnnounced(now time.Time, members []byte) {
+	for m, rest, ok := nextMember(now, members); ok; m, rest, ok = nextMember(now, rest) {
+		if now.Sub(m.receivedAt) < maxEndAge {
+			d.onEndAnnounced(now, m)
+		}
+	}
+}
+
+// onEndAnnounced records the end of one agent's server, unless a later message has come
+// from that address: then another agent has started there.
+func (d *Director) onEndAnnounced(now time.Time, m member) {
+	delete(d.failedAgents, m.addr)
+	a := d.agents[m.addr]
+	if a == nil || a.ended() || a.lastReceivedAt.Add(memberAgeSlack).After(m.receivedAt) {
+		return
+	}
+	a.state = ServerEnded
+	a.peerReceivedAt = later(a.peerReceivedAt, m.receivedAt)
+	d.recordEnded(now, a)
+	d.trace.Agent(now, a.addr, a.service, a.state, "announced")
+}
--- a/flow/director.go
+++ b/flow/director.go
@@ -5,12 +5,11 @@
 	"slices"
 	"time"
 
+	"github.com/hemlockscale/hemlockscale/flow/rotation"
 	"github.com/hemlockscale/hemlockscale/placement"
 )
 
 const (
-	// MinHelloInterval is the shortest interval between two hello messages to an agent.
-	MinHelloInterval = time.Second
 	// maxBusyRefusals is the number of agents that may refuse a flow as busy. They are
 	// the least loaded ones, so a fourth would refuse it too.
 	maxBusyRefusals = 3
@@ -25,9 +24,9 @@
 	lookupFanout = 12
 	// queryAllLimit is the fleet size up to which all agents are queried at once.
 	queryAllLimit = 16
-	// firstContactTimeout is the time after which an agent that was added and never
-	// sent a message counts as failed. It is above the time that a process takes to
-	// start. reachesAnyAgent measures it from this balancer's own start.
+	// firstContactTimeout is the time after which an agent that never sent a message and
+	// leaves this balancer's messages unanswered counts as failed. It is above the time that
+	// a process takes to start. reachesAnyAgent measures it from this balancer's own start.
 	firstContactTimeout = time.Second
 	// queryRetryInterval is the time after which agents that have not answered are
 	// queried again, and maxQueryAttempts the number of times.
@@ -69,38 +68,50 @@
 	service           ServiceID
 	state             ServerState
 	incarnation       uint64
-	zone              uint32 // ZoneID of its availability zone; 0: unknown
-	local             bool   // in the balancer's own zone
-	addedAt           time.Time
+	zone              uint32    // ZoneID of its availability zone; 0: unknown
+	local             bool      // in the balancer's own zone
 	confirmedByPeer   bool      // named by a balancer that had received messages from it
 	peerReceivedAt    time.Time // when other balancers last received a message from it, as they reported
 	lastReceivedAt    time.Time // last message from it; zero: none yet
+	contactedAt       time.Time // when it last received a message from this balancer, as its messages show
 	unresponsive      bool      // gets no new flows until it answers again
-	holdsNoFlows      bool      // at its last message its server held no flow and got none
+	holdsNoFlows      bool      // at flowsKnownAt its server held no flow and got none
+	flowsKnownAt      time.Time // when the agent, or another balancer for it, reported that
 	recentlyStarted   bool      // it and its server had recently started when they first made contact
 	unresponsiveSince time.Time // when it became unresponsive
+	failureAnnounced  bool      // it counts as unresponsive because another balancer announced that
+	failedAfter       time.Time // when that balancer last received a message from it
+	announcedFailed   bool      // this balancer has announced that it stopped answering
+	watched           bool      // has asked for hello messages every watchInterval
 	answerOptional    bool      // lookups need not wait for its answer, as of the last check
-	unansweredQueries int       // queries sent since its last message
+	unanswered        int       // messages that it has to answer, sent since its last message
 	firstUnansweredAt time.Time // when the first of them was sent
-	nextHelloAt       time.Time // when the next hello is due
+	nextHelloAt       time.Time // when a suspect is sent its next hello
+	endedAt           time.Time // when it was first known that its server has ended
+	staleQueued       bool      // listed in Director.staleStates
 }
 
-// takesFlows reports whether the agent last reported its server as ready and is
-// responsive. The operator's orders for its zone are checked in mayOffer.
-func (a *agent) takesFlows() bool { return a.state == ServerReady && !a.unresponsive }
-
 // mayOffer reports whether the agent may be offered a new flow.
-func (d *Director) mayOffer(a *agent) bool { return a.takesFlows() && d.inService(a) }
+func (d *Director) mayOffer(a *agent) bool { return d.takesFlows(a) && d.inService(a) }
+
+// takesFlows reports whether the agent is responsive and its server may accept new flows:
+// it was reported as ready, or its state is not known any more. The operator's orders for
+// its zone are checked in mayOffer.
+func (d *Director) takesFlows(a *agent) bool {
+	return !a.unresponsive && !a.ended() && (a.state == ServerReady || !a.stateIsCurrent(d.now))
+}
 
-// ended reports whether the agent's server has ended. Such an agent stays in the table
-// as long as it sends messages. If it were removed, its reports and other balancers'
-// member lists would add it again, and lookups would wait up to 6 s for its answer.
+// ended reports whether the agent's server has ended. Such an agent stays in the table for
+// endedTTL. If it were removed at once, the store and other balancers' member lists would
+// add it again, and lookups would wait for its answer.
 func (a *agent) ended() bool { return a.state == ServerEnded }
 
-// service holds the placement tables of one service.
+// service holds the agents of one service and their placement tables.
 type service struct {
-	all   *placement.Table // every known agent, for lookups
-	ready *placement.Table // those that accept new flows
+	agents map[netip.AddrPort]*agent
+	all    *placement.Table // every known agent, for lookups
+	ready  *placement.Table // those that may be offered new flows
+	stale  bool             // the tables are rebuilt before their next use
 }
 
 type entryState uint8
@@ -153,21 +164,21 @@
 
 // lookup is the lookup of a flow that the balancer does not know.
 type lookup struct {
-	serial        uint64
-	targets       []lookupTarget // ordered by address
+	serial  uint64
+	targets []lookupTarget // ordered by address
 	// answeredPrefix is a number of targets at the start of the list that have all
 	// answered. Without it every answer would be followed by a pass over all targets,
 	// whose number is that of the fleet.
 	answeredPrefix int
-	allQueried    bool // every agent of the fleet was queried
-	startedAt     time.Time
-	lastAttemptAt time.Time // when the packet that is sent with the queries arrived
-	segment       Segment
-	packet        []byte
-	undecided     bool     // listed in Director.undecidedLookups
-	blocked       bool     // listed in Director.blockedLookups
-	retries       int      // number of times that agents were queried again
-	buffered      [][]byte // packets that arrived during the lookup
+	allQueried     bool // every agent of the fleet was queried
+	startedAt      time.Time
+	lastAttemptAt  time.Time // when the packet that is sent with the queries arrived
+	segment        Segment
+	packet         []byte
+	undecided      bool     // listed in Director.undecidedLookups
+	blocked        bool     // listed in Director.blockedLookups
+	retries        int      // number of times that agents were queried again
+	buffered       [][]byte // packets that arrived during the lookup
 }
 
 // lookupTarget is an agent that was queried for a flow.
@@ -224,16 +235,24 @@
 
 	agentReached             bool                         // some agent has sent a message to this process
 	failedAgents             map[netip.AddrPort]time.Time // agents that failed without deregistering, and when
-	balancers                map[netip.AddrPort]time.Time // other balancers, and when each last sent a message; zero: never
+	peers                    peers                        // other balancers
 	memberListKnown          bool                         // one of them has sent the agents that it knows
 	peerRecentlyStarted      bool                         // one of them has reported that it has recently started
 	storeListed              bool                         // the store has listed the agents that it knows
 	reportersRecentlyStarted bool                         // all agents that have sent a message have recently started
 	fleetRecentlyStarted     bool                         // all servers of the fleet have recently started
+	balancerRequests         int                          // agents that were asked for other balancers
 	nextMemberListRequest    time.Time                    // when their member lists are requested next
 	memberCheck              memberListCheck              // whether other balancers know further agents
-	announcements            []byte                       // agents to announce to other balancers, encoded as in MemberList
-	announceAt               time.Time                    // when they are sent
+	learned                  announcements                // of agents that this balancer has learned of
+	ended                    announcements                // of agents whose servers have ended
+	failed                   announcements                // of agents that have stopped answering
+	watched                  map[netip.AddrPort]*agent    // agents that have asked for hello messages every watchInterval
+	endedAgents              fifo[endedAgent]             // agents whose servers have ended, ordered by time
+	contacts                 *rotation.Rotation           // agents to send a hello message to
+	suspects                 map[netip.AddrPort]*agent    // agents that are unresponsive or leave messages unanswered
+	awaited                  fifo[awaitedAnswer]          // agents that have to answer, ordered by time
+	staleStates              fifo[staleState]             // agents that are not ready, ordered by the time until which that is assumed
 
 	load             *placement.Load
 	loadCapacity     int // number of agents that load has space for
@@ -273,12 +292,19 @@
 		agents:       make(map[netip.AddrPort]*agent),
 		services:     make(map[ServiceID]*service),
 		failedAgents: make(map[netip.AddrPort]time.Time),
-		balancers:    make(map[netip.AddrPort]time.Time),
+		peers:        peers{known: make(map[netip.AddrPort]*peer)},
+		learned:      announcements{kind: Announce},
+		ended:        announcements{kind: AnnounceEnded},
+		failed:       announcements{kind: AnnounceFailed},
+		watched:      make(map[netip.AddrPort]*agent),
+		contacts:     rotation.New(now, rotation.Config{Interval: MinHelloInterval, Rate: maxHelloRate, Burst: maxImmediateHellos}),
+		suspects:     make(map[netip.AddrPort]*agent),
 		load:         placement.NewLoad(minLoadCapacity, placement.LoadOptions{}),
 		loadCapacity: minLoadCapacity,
 		flows:        make(map[Key]*entry),
 		queries:      newQueries(cfg.Link),
 		started:      now,
+		now:          now,
 		lastTickAt:   now,
 		lastSweepAt:  now,
 		trace:        tr,
--- a/flow/director_config.go
+++ b/flow/director_config.go
@@ -13,15 +13,15 @@
 
 	// OpenTimeout is how long an agent may take to answer an offer.
 	OpenTimeout time.Duration
-	// AgentTimeout is the time without a message after which an agent is offered no new
-	// flows.
+	// AgentTimeout is the time after which an agent that leaves messages unanswered is
+	// offered no new flows.
 	AgentTimeout time.Duration
-	// AgentExpiry is the time without a message after which an agent is removed and no
-	// longer queried for flows. For MaxAge after that, no flow counts as not held by any
+	// AgentExpiry is the time after which an agent that leaves messages unanswered is
+	// removed and no longer queried for flows. For MaxAge after that, no flow counts as not held by any
 	// agent, because the removed agent may still hold it.
 	AgentExpiry time.Duration
-	// DiscoveryTime is the time from the start until the balancer has received a
-	// message from every live agent. Before, no flow counts as not held by any agent.
+	// DiscoveryTime is the time from the start until the balancer knows every live agent.
+	// Before, no flow counts as not held by any agent.
 	DiscoveryTime time.Duration
 	// MaxFlows bounds the flows in the table.
 	MaxFlows int
@@ -38,12 +38,12 @@
 	// DefaultOpenTimeout is ten times the longest round trip between zones, and a
 	// quarter of the time after which a caller repeats its first packet.
 	DefaultOpenTimeout = 50 * time.Millisecond
-	// DefaultAgentTimeout is three reports at the shortest interval.
-	DefaultAgentTimeout = missedReports * MinReportInterval
+	// DefaultAgentTimeout is the time for three hello messages to a suspect.
+	DefaultAgentTimeout = 3 * helloRetryInterval
 	// DefaultAgentExpiry is above the time in which a killed agent has restarted.
 	DefaultAgentExpiry = 6 * time.Second
-	// DefaultDiscoveryTime is more than two report intervals: agents continue to report
-	// to a balancer that has restarted.
+	// DefaultDiscoveryTime is above the time in which agents that the store does not list
+	// are announced to a balancer that has restarted.
 	DefaultDiscoveryTime = 600 * time.Millisecond
 	// DefaultMaxFlows is four times a balancer's share of the target load. The table
 	// takes about 10 MB.
--- a/flow/gate.go
+++ b/flow/gate.go
@@ -8,12 +8,18 @@
 )
 
 const (
-	// subscriptionTTL is how long an agent reports to a balancer after the last message
-	// received from it: four hello messages at their longest interval, and longer than a
-	// killed balancer takes to restart.
-	subscriptionTTL = 15 * time.Second
-	// maxBalancers is the highest number of balancers that an agent reports to.
-	maxBalancers = 256
+	// maxBalancers is the highest number of balancers that an agent reports to. It bounds
+	// the memory for forged senders: an agent receives messages of a few hundred balancers
+	// within stateTTL.
+	maxBalancers = 1 << 14
+	// maxIntroductions is the number of balancers named by the store to which an agent
+	// reports by itself when it starts. They announce it to the others.
+	maxIntroductions = 8
+	// shortestReportInterval is the shortest interval of periodic reports.
+	shortestReportInterval = 250 * time.Millisecond
+	// periodicTTL is how long an agent reports periodically to a balancer after a hello
+	// message that asks for it: four of them at their longest interval.
+	periodicTTL = 15 * time.Second
 	// ackSlack is the number of bytes by which a caller's acknowledgement may exceed the
 	// data seen from the server: SYN and FIN each count as a byte.
 	ackSlack = 4
@@ -151,6 +157,8 @@
 	waitingCallers   []queueEntry      // callers waiting to be notified that their flow ended; entries without packets
 	reservations     fifo[time.Time]   // expiry times of the capacity reserved for notified callers
 	balancers        map[netip.AddrPort]*subscriber
+	introductions    int  // balancers to which the agent has reported by itself
+	stopping         bool // the process ends
 	reportAt         time.Time
 	lastTickAt       time.Time
 	lastSweepAt      time.Time
@@ -207,7 +215,12 @@
 	b := g.subscribe(now, from)
 	g.receiveOrders(now, m)
 	if m.Kind == Hello {
-		b.reportInterval = max(m.Wait, MinReportInterval)
+		b.reportInterval = max(m.Wait, shortestReportInterval)
+		b.reportAt = now.Add(b.reportInterval)
+		if b.reportInterval < stateTTL {
+			b.reportsUntil = now.Add(periodicTTL)
+		}
+		b.watches = b.reportInterval >= stateTTL && g.otherWatchers(now, b) < maxWatchers
 		g.reply(now, from, Message{Kind: Report}, nil)
 		if m.Reason == ReasonState {
 			g.sendBalancers(now, from)
@@ -236,30 +249,35 @@
 // subscriber is a balancer that an agent reports to.
 type subscriber struct {
 	lastReceivedAt time.Time
+	reportsUntil   time.Time     // until when it gets reports
 	reportInterval time.Duration // as requested by the balancer
-	reportAt       time.Time     // when the next report is due
+	reportAt       time.Time     // when the next periodic report is due
+	watches        bool          // has been asked for a hello message every watchInterval
 }
 
-// subscribe records the receipt of a message from a balancer.
+// subscribe records the receipt of a message from a balancer, which is then notified of
+// changes of the server's state for stateTTL.
 func (g *Gate) subscribe(now time.Time, from netip.AddrPort) *subscriber {
 	b := g.balancers[from]
 	if b == nil {
-		b = &subscriber{reportInterval: MinReportInterval}
+		b = &subscriber{reportInterval: noPeriodicReports, reportAt: now.Add(noPeriodicReports)}
 		if len(g.balancers) >= maxBalancers {
 			return b // its messages are answered, but it gets no reports
 		}
 		g.balancers[from] = b
 	}
 	b.lastReceivedAt = now
+	b.reportsUntil = later(b.reportsUntil, now.Add(stateTTL))
 	return b
 }
 
-// AddBalancer subscribes a balancer that other processes have named, if it is new, and
-// reports to it.
+// AddBalancer introduces the agent to a balancer that the store or the settings name, so
+// that the balancer learns of it and announces it to others.
 func (g *Gate) AddBalancer(now time.Time, balancer netip.AddrPort) {
-	if _, known := g.balancers[balancer]; known {
+	if _, known := g.balancers[balancer]; known || g.introductions >= maxIntroductions {
 		return
 	}
+	g.introductions++
 	g.subscribe(now, balancer)
 	g.reply(now, balancer, Message{Kind: Report}, nil)
 }
@@ -272,15 +290,20 @@
 	m.State = g.State(now)
 	m.Service = g.server.service
 	m.Occupancy = g.occupancy(now)
-	if m.Kind == Report {
+	m.Zone = ZoneID(g.cfg.Zone)
+	if m.Kind == Report || m.Kind == QueryAnswer {
 		switch {
 		case g.holdsNoFlows(now):
 			m.Reason = ReasonNotHeld
 		case g.recentlyStarted(now):
 			m.Reason = ReasonStarted
 		}
-		m.Zone = ZoneID(g.cfg.Zone)
-		m.LastReceived = g.sinceReceived(now, to)
+	}
+	if b := g.balancers[to]; m.Kind == Report && b != nil {
+		m.LastReceived = now.Sub(b.lastReceivedAt)
+		if b.watches {
+			m.Wait = watchInterval
+		}
 	}
 	g.out = append(g.out, Effect{Kind: SendMessage, To: to, Message: m, Packet: packet})
 }
@@ -305,13 +328,16 @@
 	return true
 }
 
-// sinceReceived returns the time since the last message from a balancer, 0 if there is no
-// subscription.
-func (g *Gate) sinceReceived(now time.Time, balancer netip.AddrPort) time.Duration {
-	if b := g.balancers[balancer]; b != nil {
-		return now.Sub(b.lastReceivedAt)
+// otherWatchers returns the number of balancers, besides b, that send hello messages as the
+// agent asked them to. If one stops, the next balancer that sends a hello message is asked.
+func (g *Gate) otherWatchers(now time.Time, b *subscriber) int {
+	n := 0
+	for _, other := range g.balancers {
+		if other != b && other.watches && now.Sub(other.lastReceivedAt) < watcherTimeout {
+			n++
+		}
 	}
-	return 0
+	return n
 }
 
 func (g *Gate) sendToServer(packet []byte) {
--- a/flow/held.go
+++ b/flow/held.go
@@ -341,8 +341,11 @@
 		}
 	}
 	for addr, b := range g.balancers {
-		if now.Sub(b.lastReceivedAt) >= subscriptionTTL {
+		if !now.Before(b.reportsUntil) {
 			delete(g.balancers, addr)
 		}
 	}
+	if len(g.balancers) == 0 {
+		g.introductions = 0 // no balancer may know this agent
+	}
 }
--- a/flow/lookup.go
+++ b/flow/lookup.go
@@ -149,7 +149,7 @@
 // sendRequest sends a message that an agent has to answer.
 func (d *Director) sendRequest(to netip.AddrPort, m Message, packet []byte) {
 	if a := d.agents[to]; a != nil {
-		a.recordQuery(d.now)
+		d.recordRequest(d.now, a)
 	}
 	d.send(to, m, packet)
 }
@@ -175,7 +175,7 @@
 	if !ok {
 		return nil
 	}
-	return d.services[route.ServiceFor(key)]
+	return d.tables(route.ServiceFor(key))
 }
 
 // continueLookup handles a further packet of a flow that is being looked up. It is
@@ -337,16 +337,16 @@
 	}
 }
 
-// answerOptional reports whether lookups need not wait for an agent's answer: it is
-// unresponsive and its server held no flow before; or it was added and has sent no
-// message in a time long enough to answer, since a key of the store outlives its
-// process. An agent that another balancer has received messages from may be paused for
-// a while, and its server may hold flows.
+// answerOptional reports whether lookups need not wait for an agent's answer: its server
+// held no flow before it became unresponsive; or it was added, has sent no message, and
+// has left this balancer's messages unanswered for a time long enough to answer, since a
+// key of the store outlives its process. An agent that another balancer has received
+// messages from may be paused for a while, and its server may hold flows.
 func (d *Director) answerOptional(now time.Time, a *agent) bool {
 	switch {
-	case a.ended() || a.unresponsive && a.holdsNoFlows:
+	case a.ended() || a.unresponsive && a.heldNoFlows(now):
 		return true
-	case a.holdsNoFlows && a.unansweredQueries >= maxQueryAttempts && now.Sub(a.firstUnansweredAt) >= maxQueryAttempts*queryRetryInterval:
+	case a.heldNoFlows(now) && a.unanswered >= maxQueryAttempts && now.Sub(a.firstUnansweredAt) >= maxQueryAttempts*queryRetryInterval:
 		// Its server held no flow, and it has left every query unanswered. After a
 		// power loss VMs whose servers had deregistered start once more and are then
 		// removed; if they were waited for as long as others, each would hold up all
@@ -354,12 +354,12 @@
 		return true
 	case !a.lastReceivedAt.IsZero():
 		return false
-	case a.holdsNoFlows && a.ignoresQueries(now):
+	case a.heldNoFlows(now) && a.ignoresQueries(now):
 		return true
 	}
 	limit := firstContactTimeout
-	if a.confirmedByPeer && !a.holdsNoFlows {
+	if a.confirmedByPeer && !a.heldNoFlows(now) {
 		limit = d.cfg.AgentExpiry
 	}
-	return now.Sub(a.addedAt) >= limit
+	return a.unanswered > 0 && now.Sub(a.firstUnansweredAt) >= limit
 }
--- a/flow/member_check.go
+++ b/flow/member_check.go
@@ -24,7 +24,7 @@
 // failed and the list known here counts as complete.
 func (d *Director) membersConfirmed(now time.Time, l *lookup) bool {
 	c := &d.memberCheck
-	if len(d.balancers) == 0 || !c.confirmedAt.Before(l.startedAt) {
+	if d.peers.len() == 0 || !c.confirmedAt.Before(l.startedAt) {
 		return true
 	}
 	if at, waiting := c.due(); waiting && now.Before(at) {
--- a/flow/members.go
+++ b/flow/members.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -35,41 +36,95 @@
 	maxDiscoveryTime = 3 * time.Second
 )
 
-// AddBalancer adds another balancer. A balancer that has started asks others for the
-// agents that they know: the store may list too few, because keys can be removed, and a
-// paused agent can't report.
-func (d *Director) AddBalancer(addr netip.AddrPort) {
-	if _, known := d.balancers[addr]; !known {
-		d.balancers[addr] = time.Time{}
+// peer is another balancer.
+type peer struct {
+	receivedAt time.Time // last message from it; zero: none yet
+	namedAt    time.Time // when the store or another process last named it
+	index      int       // in peers.order
+}
+
+// peers holds the other balancers that a balancer knows.
+type peers struct {
+	known map[netip.AddrPort]*peer
+	order []netip.AddrPort // in no particular order, to draw from
+}
+
+const (
+	// peerTimeout is how long a balancer counts as live after its last message. Each one
+	// receives messages from a few others per second.
+	peerTimeout = 3 * time.Second
+	// peerExpiry is above the time for which the store keeps the key of a failed process,
+	// and above most of its outages.
+	peerExpiry = 2 * time.Minute
+	// drawsPerSample bounds the random draws for each live balancer of a sample.
+	drawsPerSample = 16
+)
+
+func (p *peers) len() int { return len(p.order) }
+
+// get returns a balancer, and adds it if it is new.
+func (p *peers) get(addr netip.AddrPort) *peer {
+	v := p.known[addr]
+	if v == nil {
+		v = &peer{index: len(p.order)}
+		p.known[addr] = v
+		p.order = append(p.order, addr)
 	}
+	return v
 }
 
-// balancerTimeout is how long a balancer counts as live after its last message. Each
-// one receives messages from a few others per second.
-const balancerTimeout = 3 * time.Second
+// expire removes the balancers that nothing has named and that have sent no message for
+// peerExpiry.
+func (p *peers) expire(now time.Time) {
+	for addr, v := range p.known {
+		if now.Sub(later(v.receivedAt, v.namedAt)) < peerExpiry {
+			continue
+		}
+		last := len(p.order) - 1
+		p.order[v.index] = p.order[last]
+		p.known[p.order[last]].index = v.index
+		p.order = p.order[:last]
+		delete(p.known, addr)
+	}
+}
 
-// SampleBalancers returns up to n other balancers in random order. All but one are
-// among those that sent a message recently, if there are enough, since half of all
-// known balancers may have failed. One is among all, so that balancers from which no
-// process has received a message are contacted as well.
-func (d *Director) SampleBalancers(now time.Time, n int) []netip.AddrPort {
+// sample returns up to n balancers drawn at random, up to live of them among those that
+// sent a message recently.
+func (p *peers) sample(now time.Time, n, live int) []netip.AddrPort {
 	list := make([]netip.AddrPort, 0, n)
-	for addr, receivedAt := range d.balancers {
-		if len(list) < n-1 && !receivedAt.IsZero() && now.Sub(receivedAt) < balancerTimeout {
+	for range drawsPerSample * live {
+		if len(list) == live || len(p.order) == 0 {
+			break
+		}
+		addr := p.order[rand.IntN(len(p.order))]
+		if v := p.known[addr]; !v.receivedAt.IsZero() && now.Sub(v.receivedAt) < peerTimeout && !slices.Contains(list, addr) {
 			list = append(list, addr)
 		}
 	}
-	for addr := range d.balancers {
-		if len(list) == n {
-			break
-		}
-		if !slices.Contains(list, addr) {
+	if n >= len(p.order) {
+		return append(list[:0], p.order...)
+	}
+	for len(list) < n {
+		if addr := p.order[rand.IntN(len(p.order))]; !slices.Contains(list, addr) {
 			list = append(list, addr)
 		}
 	}
 	return list
 }
 
+// AddBalancer adds another balancer. A balancer that has started asks others for the
+// agents that they know: the store may list too few, because keys can be removed, and a
+// paused agent can't report.
+func (d *Director) AddBalancer(addr netip.AddrPort) { d.peers.get(addr).namedAt = d.now }
+
+// SampleBalancers returns up to n other balancers in random order. All but one are
+// among those that sent a message recently, if there are enough, since half of all
+// known balancers may have failed. One is among all, so that balancers from which no
+// process has received a message are contacted as well.
+func (d *Director) SampleBalancers(now time.Time, n int) []netip.AddrPort {
+	return d.peers.sample(now, n, n-1)
+}
+
 // balancersPerMessage is the number of balancers that an agent lists in one message,
 // and balancerSize the length of one in bytes.
 const (
@@ -77,8 +132,8 @@
 	balancerSize        = 6
 )
 
-// sendBalancers sends a recently started balancer the other balancers that this agent
-// reports to. The store may list none, and other balancers announce agents only to
+// sendBalancers sends a recently started balancer others from which this agent has
+// received messages. The store may list none, and other balancers announce agents only to
 // balancers that they know.
 func (g *Gate) sendBalancers(now time.Time, to netip.AddrPort) {
 	var b []byte
@@ -128,7 +183,7 @@
 	d.now = now
 	d.newestOrders = max(d.newestOrders, m.Revision)
 	d.StoreRead(ReadAt(now, m.ReadAge))
-	d.balancers[from] = now
+	d.peers.get(from).receivedAt = now
 	switch m.Kind {
 	case MemberListRequest:
 		d.sendMemberList(now, from, m.Incarnation)
@@ -136,7 +191,13 @@
 	case Configured:
 		return
 	case Announce:
-		d.mergeMemberList(now, members)
+		d.onAnnounced(now, members)
+		return
+	case AnnounceEnded:
+		d.onEndsAnnounced(now, members)
+		return
+	case AnnounceFailed:
+		d.onFailuresAnnounced(now, members)
 		return
 	}
 	d.mergeMemberList(now, members)
@@ -148,17 +209,20 @@
 	}
 }
 
-// sendMemberList answers a request with the agents that this balancer itself has
-// received messages from. A recently started balancer marks its answer as such:
-// otherwise the few agents that it knows would count as all agents.
+// sendMemberList answers a request with the agents that this balancer or another one has
+// received messages from. A recently started balancer only reports that it is one: the few
+// agents that it knows must not count as all agents. After a start of the whole fleet
+// balancers ask ten times a second, and each list is as long as the fleet is large.
 func (d *Director) sendMemberList(now time.Time, to netip.AddrPort, request uint64) {
 	m := Message{Kind: MemberList, Incarnation: request}
 	if !d.discoveryDone(now) {
 		m.Reason = ReasonState
+		d.send(to, m, nil)
+		return
 	}
 	var contacted []*agent
 	for _, a := range d.agents {
-		if !a.lastReceivedAt.IsZero() && !a.ended() {
+		if (a.confirmedByPeer || !a.lastReceivedAt.IsZero()) && !a.ended() {
 			contacted = append(contacted, a)
 		}
 	}
@@ -168,91 +232,80 @@
 		var b []byte
 		n := min(len(contacted), membersPerMessage)
 		for _, a := range contacted[:n] {
-			b = a.appendMember(b, now)
+			b = a.member().append(b, now)
 		}
 		contacted = contacted[n:]
 		d.send(to, m, b)
 	}
 }
 
-func (a *agent) appendMember(b []byte, now time.Time) []byte {
-	ip := a.addr.Addr().As4()
+// member is an agent as balancers name it to each other.
+type member struct {
+	addr         netip.AddrPort
+	service      ServiceID
+	receivedAt   time.Time // last message from it
+	holdsNoFlows bool      // as of that message
+}
+
+// member returns the agent as named to other balancers.
+func (a *agent) member() member {
+	return member{a.addr, a.service, later(a.lastReceivedAt, a.peerReceivedAt), a.holdsNoFlows}
+}
+
+// append appends the encoded member to b.
+func (m member) append(b []byte, now time.Time) []byte {
+	ip := m.addr.Addr().As4()
 	b = append(b, ip[:]...)
-	b = binary.LittleEndian.AppendUint16(b, a.addr.Port())
-	b = binary.LittleEndian.AppendUint64(b, uint64(a.service))
-	last := byte(min(now.Sub(a.lastReceivedAt)/memberAgeUnit, maxMemberAge))
-	if a.holdsNoFlows {
+	b = binary.LittleEndian.AppendUint16(b, m.addr.Port())
+	b = binary.LittleEndian.AppendUint64(b, uint64(m.service))
+	last := byte(min(now.Sub(m.receivedAt)/memberAgeUnit, maxMemberAge))
+	if m.holdsNoFlows {
 		last |= memberHoldsNoFlows
 	}
 	return append(b, last)
 }
 
-// announceInterval is how long newly discovered agents are collected before they are
-// announced to other balancers. After a power loss of the whole fleet each of 17
-// balancers discovers 65 agents at once; announced one by one they would cost 100 KB
-// into and out of each balancer.
-const announceInterval = 10 * time.Millisecond
-
-// announceFanout is the number of balancers that an announcement is sent to. Each sends
-// the agent a hello message, and on the first answer announces it to as many others:
-// four reach 98 of 100 balancers, and the agent itself reports to those that the store
-// lists. If each balancer announced to all, 204 agents that start together would cost
-// 300 KB out of and into each of 91 balancers and delay new flows by 0.12 s on a
-// 20 Mbit/s link.
-const announceFanout = 4
-
-// queueAnnouncement schedules the announcement of an agent that has sent its first
-// message. An agent that starts while the store is unavailable may reach only some of
-// the balancers, and the others must not treat its flows as lost.
-func (d *Director) queueAnnouncement(now time.Time, a *agent) {
-	if len(d.announcements) == 0 {
-		d.announceAt = now.Add(announceInterval)
-	}
-	d.announcements = a.appendMember(d.announcements, now)
-	if len(d.announcements) >= membersPerMessage*memberSize {
-		d.announceAt = now
+// nextMember decodes the first member of a list and returns the rest of the list. ok is
+// false if there is none.
+func nextMember(now time.Time, b []byte) (m member, rest []byte, ok bool) {
+	if len(b) < memberSize {
+		return member{}, nil, false
 	}
+	m.addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.LittleEndian.Uint16(b[4:]))
+	m.service = ServiceID(binary.LittleEndian.Uint64(b[6:]))
+	last := b[memberSize-1]
+	m.receivedAt = now.Add(-time.Duration(last&maxMemberAge) * memberAgeUnit)
+	m.holdsNoFlows = last&memberHoldsNoFlows != 0
+	return m, b[memberSize:], true
 }
 
-// sendAnnouncements announces new agents to other balancers when that is due.
-func (d *Director) sendAnnouncements(now time.Time) {
-	if len(d.announcements) == 0 || now.Before(d.announceAt) {
-		return
-	}
-	for _, addr := range d.SampleBalancers(now, announceFanout) {
-		d.send(addr, Message{Kind: Announce}, d.announcements)
+// mergeMemberList adds the agents that another balancer knows.
+func (d *Director) mergeMemberList(now time.Time, members []byte) {
+	for m, rest, ok := nextMember(now, members); ok; m, rest, ok = nextMember(now, rest) {
+		d.mergeMember(now, m)
 	}
-	d.announcements = nil
 }
 
-// mergeMemberList adds the agents that another balancer knows.
-func (d *Director) mergeMemberList(now time.Time, members []byte) {
-	for ; len(members) >= memberSize; members = members[memberSize:] {
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte(members[:4])), binary.LittleEndian.Uint16(members[4:]))
-		d.AddAgent(now, addr, ServiceID(binary.LittleEndian.Uint64(members[6:])), "")
-		a := d.agents[addr]
-		a.confirmedByPeer = true
-		last := members[memberSize-1]
-		receivedAt := now.Add(-time.Duration(last&maxMemberAge) * memberAgeUnit)
-		if a.ended() && receivedAt.After(a.lastReceivedAt.Add(memberAgeSlack)) {
-			// The other balancer has received a message from a new agent at that
-			// address, beside a new server, which may hold the flow that is being
-			// looked up.
-			a.state = ServerUnknown
-			d.rebuildTables(a.service)
-		}
-		a.recordPeerContact(receivedAt, last&memberHoldsNoFlows != 0, 2*d.reportInterval())
+func (d *Director) mergeMember(now time.Time, m member) {
+	d.AddAgent(now, m.addr, m.service, "")
+	a := d.agents[m.addr]
+	a.confirmedByPeer = true
+	if a.ended() && m.receivedAt.After(later(a.lastReceivedAt, a.peerReceivedAt).Add(memberAgeSlack)) {
+		// The other balancer has received a message from a new agent at that address,
+		// beside a new server, which may hold the flow that is being looked up.
+		a.state = ServerUnknown
+		d.tablesChanged(a.service)
 	}
+	a.recordPeerContact(m)
 }
 
 // recordPeerContact records when another balancer last received a message from the
-// agent, and whether the agent's server held no flow then. The report counts only if it
-// is later than this balancer's own last message by more than slack: of a failed agent
-// other balancers have received at most one further report, and ages are rounded.
-func (a *agent) recordPeerContact(receivedAt time.Time, holdsNoFlows bool, slack time.Duration) {
-	if !receivedAt.After(a.peerReceivedAt) || !a.lastReceivedAt.IsZero() && !receivedAt.After(a.lastReceivedAt.Add(slack)) {
+// agent, and whether the agent's server held no flow then. That counts only if it is later
+// than this balancer's own last message by more than the inaccuracy of ages.
+func (a *agent) recordPeerContact(m member) {
+	if !m.receivedAt.After(a.peerReceivedAt) || !a.lastReceivedAt.IsZero() && !m.receivedAt.After(a.lastReceivedAt.Add(memberAgeSlack)) {
 		return
 	}
-	a.peerReceivedAt = receivedAt
-	a.holdsNoFlows = holdsNoFlows
+	a.peerReceivedAt = m.receivedAt
+	a.holdsNoFlows, a.flowsKnownAt = m.holdsNoFlows, m.receivedAt
 }
--- a/flow/message.go
+++ b/flow/message.go
@@ -32,7 +32,7 @@
 	// NotHeld answers Lookup, and Pass if the server does not hold the flow. With
 	// ReasonLost the server held the flow and lost it, so no server holds it any more.
 	NotHeld
-	// Hello registers a balancer with an agent, which then sends it reports.
+	// Hello asks an agent for a report.
 	Hello
 	// Report carries an agent's state and load.
 	Report
@@ -61,13 +61,19 @@
 	// Announce informs another balancer of agents that the sender has received a
 	// message from for the first time. They follow as in MemberList.
 	Announce
-
-	lastKind = Announce
+	// AnnounceEnded informs another balancer of agents whose servers have ended. They
+	// follow as in MemberList.
+	AnnounceEnded
+	// AnnounceFailed informs another balancer of agents that have stopped answering. They
+	// follow as in MemberList.
+	AnnounceFailed
+
+	lastKind = AnnounceFailed
 )
 
 // kinds are the names that MessageKind.String returns. They stay the same when a constant
 // is renamed.
-var kinds = [...]string{"invalid", "open", "pass", "seek", "taken", "refused", "queued", "held", "not_held", "hello", "report", "ask_roster", "roster", "balancers", "query", "query_answer", "return", "room", "configured", "announce"}
+var kinds = [...]string{"invalid", "open", "pass", "seek", "taken", "refused", "queued", "held", "not_held", "hello", "report", "ask_roster", "roster", "balancers", "query", "query_answer", "return", "room", "configured", "announce", "announce_ended", "announce_failed"}
 
 // String returns the kind's name.
 func (k MessageKind) String() string {
@@ -79,7 +85,11 @@
 
 // BetweenBalancers reports whether k is sent by balancers to balancers.
 func (k MessageKind) BetweenBalancers() bool {
-	return k == MemberListRequest || k == MemberList || k == Configured || k == Announce
+	switch k {
+	case MemberListRequest, MemberList, Configured, Announce, AnnounceEnded, AnnounceFailed:
+		return true
+	}
+	return false
 }
 
 // CarriesPacket reports whether the payload of a message of this kind, if it has one,
@@ -100,11 +110,11 @@
 // Revision is used in all kinds.
 type Message struct {
 	Kind         MessageKind
-	Reason       Reason              // Refused, NotHeld; ReasonState in Hello, MemberList: the sender has recently started; in Report, ReasonNotHeld: the server holds no flows and gets none, ReasonStarted: server and sender have recently started; in ReserveCapacity, ReasonStarted: the caller's packet may be a repeat of an old one
+	Reason       Reason              // Refused, NotHeld; ReasonState in Hello, MemberList: the sender has recently started; in Report and QueryAnswer, ReasonNotHeld: the server holds no flows and gets none, ReasonStarted: server and sender have recently started; in ReserveCapacity, ReasonStarted: the caller's packet may be a repeat of an old one
 	State        ServerState         // sent by agents
 	Priority     uint8               // Open, ReserveCapacity: of the route, 0 is the most urgent; MemberList: number of messages of the list that follow
 	OnTime       time.Duration       // Open, ReserveCapacity: how long the flow may wait for its request to be answered within the latency objective
-	Wait         time.Duration       // Open, ReserveCapacity: how long the flow may wait for capacity at all, 0 for not at all; Hello: interval between the agent's reports
+	Wait         time.Duration       // Open, ReserveCapacity: how long the flow may wait for capacity at all, 0 for not at all; Hello: interval between further reports; Report: interval at which the receiver is to send hello messages, 0: in turn
 	Occupancy    placement.Occupancy // sent by agents
 	Service      ServiceID           // Open, ReserveCapacity: the route's; Hello: the receiver's, if known; sent by agents: their server's
 	Revision     uint64              // number of the operator's orders in force at the sender; sent by agents: the newest that they received from a balancer
@@ -114,7 +124,7 @@
 	ReadAge      ReadAge             // of the latest read of the configuration that the sender knows of
 	Incarnation  uint64              // sent by agents: drawn at the start of the process; MemberListRequest, MemberList: number of the request; Configured: drawn by the process that read the store
 	Key          Key                 // Taken, Refused, Queued, Held, NotHeld, ReserveCapacity, CapacityReserved
-	Zone         uint32              // Report: hash of the sender's availability zone
+	Zone         uint32              // sent by agents: hash of the sender's availability zone
 }
 
 // ReadAge is the age of a read of the configuration from the store, in milliseconds.
--- a/flow/offer.go
+++ b/flow/offer.go
@@ -84,7 +84,7 @@
 // a short wait serves it better.
 func (d *Director) offerToWait(now time.Time, e *entry) {
 	o := e.open
-	v := d.services[o.service]
+	v := d.tables(o.service)
 	if o.mayWait || v == nil {
 		d.abandon(now, o, ReasonBusy)
 		return
@@ -116,7 +116,7 @@
 	if o.tries == maxOffers {
 		return netip.AddrPort{}, false
 	}
-	if v := d.services[o.service]; v != nil {
+	if v := d.tables(o.service); v != nil {
 		if a, ok := v.ready.Pick(o.key.hash(), d.load, now, d.excludedFor(&o.route, o.wasTried)); ok {
 			return a.Addr, true
 		}
@@ -130,15 +130,15 @@
 func (d *Director) lastResort(o *opening) (netip.AddrPort, bool) {
 	var best *agent
 	var bestRank uint64
-	for _, a := range d.agents {
-		if a.service != o.service || o.wasTried(a.addr) || !d.inService(a) || !d.mayServe(a, &o.route) {
+	for _, a := range d.agentsOf(o.service) {
+		if o.wasTried(a.addr) || !d.inService(a) || !d.mayServe(a, &o.route) {
 			continue
 		}
 		if a.state == ServerDraining || a.state == ServerEnded {
 			continue
 		}
 		rank := o.key.hash() ^ hashAddr(a.addr)
-		if a.takesFlows() {
+		if d.takesFlows(a) {
 			rank = 0
 		}
 		if best == nil || rank < bestRank {
@@ -178,8 +178,8 @@
 // route does not name. Its caller is refused at once.
 func (d *Director) outOfRegions(o *opening) bool {
 	known := false
-	for _, a := range d.agents {
-		if a.service != o.service || a.ended() {
+	for _, a := range d.agentsOf(o.service) {
+		if a.ended() {
 			continue
 		}
 		if a.zone == 0 || d.mayServe(a, &o.route) {
--- a/flow/orders.go
+++ b/flow/orders.go
@@ -67,9 +67,9 @@
 	for _, a := range d.agents {
 		d.recordUnconfirmedZone(now, a)
 	}
-	d.helloChangedAgents(now, before)
+	d.helloChangedAgents(before)
 	if !maps.Equal(before.Evacuated, o.Evacuated) {
-		d.rebuildAllTables()
+		d.allTablesChanged()
 	}
 	return true
 }
@@ -83,30 +83,22 @@
 	return d.SetOrders(d.now, &Orders{Number: r.Revision, Routes: r})
 }
 
-// helloChangedAgents schedules an immediate hello to agents of the balancer's own zone
-// whose order has changed or which act on another order. They then report their new
-// state to every balancer. Without it an agent would get no flows for up to four
-// seconds after its zone was put back into service, until its next hello.
-func (d *Director) helloChangedAgents(now time.Time, before *Orders) {
+// helloChangedAgents requests an immediate hello to agents of the balancer's own zone
+// whose order has changed or which act on another order. Without it an agent would get no
+// flows until its next hello after its zone was put back into service. Each balancer picks
+// others, so the balancers of a zone reach nearly all of its agents together.
+func (d *Director) helloChangedAgents(before *Orders) {
+	requested := 0
 	for _, a := range d.agents {
 		order := d.zoneOrder(a.zone)
-		if a.local && (order != before.zoneOrder(a.zone) || order == ZoneInService && a.state == ServerEvacuated) {
-			a.nextHelloAt = now
+		changed := order != before.zoneOrder(a.zone) || order == ZoneInService && a.state == ServerEvacuated
+		if a.local && changed && requested < maxImmediateHellos {
+			d.contacts.Request(a.addr)
+			requested++
 		}
 	}
 }
 
-// rebuildAllTables rebuilds the placement tables of all services.
-func (d *Director) rebuildAllTables() {
-	services := map[ServiceID]struct{}{}
-	for _, a := range d.agents {
-		services[a.service] = struct{}{}
-	}
-	for id := range services {
-		d.rebuildTables(id)
-	}
-}
-
 // zoneOrder returns the order for an availability zone; 0 is an unknown zone.
 func (o *Orders) zoneOrder(zone uint32) ZoneOrder {
 	_, evacuated := o.Evacuated[zone]
@@ -156,8 +148,8 @@
 		return false
 	}
 	known := false
-	for _, a := range d.agents {
-		if a.service != id || a.ended() {
+	for _, a := range d.agentsOf(id) {
+		if a.ended() {
 			continue
 		}
 		if !d.zoneOrder(a.zone).excludesNewFlows() {
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -8,34 +8,6 @@
 	"github.com/hemlockscale/hemlockscale/placement"
 )
 
-const (
-	// MinReportInterval is the shortest interval between two reports of an agent to a
-	// balancer.
-	MinReportInterval = 250 * time.Millisecond
-	// maxReportInterval is the longest interval. Three of them pass before an agent that
-	// sends nothing counts as unresponsive, and it must not expire before.
-	maxReportInterval = 1900 * time.Millisecond
-	// reportsPerSecond is the rate of reports that a balancer receives from all agents:
-	// 82 bytes each with their headers, 6 KB/s of the 8 KB/s that control traffic may
-	// take.
-	reportsPerSecond = 75
-	// reportsPerHello is the number of reports per hello message, whose bytes count as
-	// well.
-	reportsPerHello = 2
-	// missedReports is the number of missed reports after which an agent counts as
-	// unresponsive.
-	missedReports = 3
-)
-
-// reportInterval is the report interval that the balancer requests from agents, so that
-// the bytes it receives do not grow with their number. New flows don't depend on it: an
-// agent that does not answer an offer is excluded after OpenTimeout, a change of a
-// server's state is reported at once, and every answer carries the agent's load.
-func (d *Director) reportInterval() time.Duration {
-	every := time.Duration(len(d.agents)) * time.Second / reportsPerSecond
-	return min(max(every, MinReportInterval), maxReportInterval)
-}
-
 // hashAddr returns a hash of an address.
 func hashAddr(a netip.AddrPort) uint64 {
 	h := fnv.New64a()
@@ -52,31 +24,32 @@
 	return h.Sum32()
 }
 
-// AddAgent adds an agent that the store or another process named. Its state is
-// requested at the next tick. What a known agent has reported is kept.
+// AddAgent adds an agent that the store or another process named. What a known agent has
+// reported is kept.
 func (d *Director) AddAgent(now time.Time, addr netip.AddrPort, id ServiceID, zone string) {
 	if d.agents[addr] != nil {
 		return
 	}
-	a := &agent{addr: addr, service: id, addedAt: now, nextHelloAt: now}
+	a := &agent{addr: addr, service: id}
 	if zone != "" {
 		a.zone, a.local = ZoneID(zone), zone == d.cfg.Zone
 	}
 	d.addToTable(now, a)
-	d.rebuildTables(id)
+	d.requestFirstHello(addr)
 }
 
-// addToTable adds an agent to the table of agents.
+// addToTable adds an agent to the table of agents and to its service.
 func (d *Director) addToTable(now time.Time, a *agent) {
 	d.agents[a.addr] = a
+	d.contacts.Add(a.addr)
+	d.addToService(a)
 	if 2*len(d.agents) > d.loadCapacity {
 		d.growLoad(now)
 	}
 }
 
-// growLoad doubles the space for loads. A table that is too small for
-// the fleet keeps the loads of the latest senders only, and all other agents look equally
-// loaded.
+// growLoad doubles the space for loads. A table that is too small for the fleet keeps the
+// loads of the latest senders only, and all other agents look equally loaded.
 func (d *Director) growLoad(now time.Time) {
 	d.loadCapacity *= 2
 	grown := placement.NewLoad(d.loadCapacity, placement.LoadOptions{})
@@ -119,37 +92,134 @@
 func (d *Director) recordSender(now time.Time, from netip.AddrPort, m *Message) {
 	a, known := d.agents[from]
 	if !known {
-		a = &agent{addr: from, addedAt: now, nextHelloAt: now}
+		a = &agent{addr: from, service: m.Service}
 		d.addToTable(now, a)
 	}
 	before := *a
+	tookFlows := d.takesFlows(a)
 	delete(d.failedAgents, from)
 	a.lastReceivedAt = now
-	a.unansweredQueries = 0
+	a.contactedAt = later(a.contactedAt, now.Add(-m.LastReceived))
+	a.unanswered = 0
 	d.agentReached = true
-	a.unresponsive = a.unresponsive && !a.answers(now, m)
-	a.holdsNoFlows = m.State == ServerEnded || m.State != ServerReady && (a.holdsNoFlows || m.Kind == Report && m.Reason == ReasonNotHeld)
-	a.service, a.state, a.incarnation = m.Service, m.State, m.Incarnation
-	if m.Kind == Report {
-		a.recentlyStarted = m.Reason == ReasonStarted
+	d.recordAnswer(now, a, m)
+	a.recordFlows(now, m)
+	a.state, a.incarnation = m.State, m.Incarnation
+	if m.Zone != 0 {
 		a.zone, a.local = m.Zone, m.Zone == ZoneID(d.cfg.Zone)
 	}
+	d.moveToService(a, m.Service)
 	if d.zoneOrder(before.zone) != d.zoneOrder(a.zone) {
-		a.nextHelloAt = now // the agent has not received its zone's order yet
+		d.contacts.Request(from) // the agent has not received its zone's order yet
 	}
 	d.recordUnconfirmedZone(now, a)
 	d.load.Report(from, m.Occupancy, now)
-	if !known || before.service != a.service || before.takesFlows() != a.takesFlows() || before.zone != a.zone || before.ended() != a.ended() {
-		d.rebuildTables(before.service)
-		d.rebuildTables(a.service)
+	if tookFlows != d.takesFlows(a) || before.zone != a.zone || before.ended() != a.ended() {
+		d.tablesChanged(a.service)
 	}
 	if before.state != a.state || before.service != a.service || before.incarnation != a.incarnation {
 		d.trace.Agent(now, from, a.service, a.state, "reported")
 	}
-	d.recheckBlocked = d.recheckBlocked || a.ended() && !before.ended()
-	if before.lastReceivedAt.IsZero() && !a.ended() {
-		d.queueAnnouncement(now, a)
+	switch {
+	case a.ended() && !before.ended():
+		d.recordEnded(now, a)
+	case a.ended():
+	case a.state != ServerReady:
+		d.expectStale(a)
+		fallthrough
+	default:
+		if !known {
+			d.learned.add(now, a.member())
+		}
+	}
+}
+
+// recordAnswer records that an unresponsive agent answers again, and how often it asks for
+// hello messages.
+func (d *Director) recordAnswer(now time.Time, a *agent, m *Message) {
+	if a.unresponsive && a.answers(now, m) {
+		if a.announcedFailed || a.failureAnnounced {
+			d.learned.add(now, a.member())
+		}
+		a.unresponsive, a.failureAnnounced, a.announcedFailed = false, false, false
+	}
+	if m.Kind == Report {
+		d.setWatched(now, a, m.Wait > 0)
+	}
+}
+
+// recordFlows records what a message says about the flows of the agent's server.
+func (a *agent) recordFlows(now time.Time, m *Message) {
+	describes := m.Kind == Report || m.Kind == QueryAnswer
+	if describes {
+		a.recentlyStarted = m.Reason == ReasonStarted
+	}
+	switch {
+	case m.State == ServerEnded || m.State != ServerReady && describes && m.Reason == ReasonNotHeld:
+		a.holdsNoFlows = true
+	case m.State == ServerReady || now.Sub(a.flowsKnownAt) > stateTTL:
+		a.holdsNoFlows = false
 	}
+	if a.holdsNoFlows {
+		a.flowsKnownAt = now
+	}
+}
+
+// heldNoFlows reports whether the agent's server held no flows when the agent stopped
+// answering. A report older than stateTTL does not show that: its server may have taken
+// flows of other balancers since.
+func (a *agent) heldNoFlows(now time.Time) bool {
+	if a.unanswered > 0 {
+		now = a.firstUnansweredAt
+	}
+	if a.unresponsive && a.unresponsiveSince.Before(now) {
+		now = a.unresponsiveSince
+	}
+	return a.holdsNoFlows && now.Sub(a.flowsKnownAt) <= stateTTL
+}
+
+// stateIsCurrent reports whether the agent would have reported a change of its state: it
+// reports changes to the balancers from which it received a message within stateTTL.
+func (a *agent) stateIsCurrent(now time.Time) bool { return now.Sub(a.contactedAt) < stateTTL }
+
+// staleState is an agent that is not ready, as far as its state is current.
+type staleState struct {
+	agent netip.AddrPort
+	at    time.Time // until when it is, unless another message arrives
+}
+
+// expectStale has the agent offered flows again once its state is not current any more.
+// The agent then accepts them or reports its state with the refusal.
+func (d *Director) expectStale(a *agent) {
+	if !a.staleQueued {
+		a.staleQueued = true
+		d.staleStates.push(staleState{a.addr, a.contactedAt.Add(stateTTL)})
+	}
+}
+
+// expireStates updates the placement tables for agents whose state is not current any
+// more.
+func (d *Director) expireStates(now time.Time) {
+	for d.staleStates.len() > 0 && !d.staleStates.first().at.After(now) {
+		a := d.agents[d.staleStates.pop().agent]
+		if a == nil {
+			continue
+		}
+		a.staleQueued = false
+		if a.state != ServerReady && !a.ended() && a.stateIsCurrent(now) {
+			d.expectStale(a)
+			continue
+		}
+		d.tablesChanged(a.service)
+	}
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // answers reports whether a message shows that the agent can be reached again. A report
@@ -168,23 +238,87 @@
 	}
 	a.unresponsive = true
 	a.unresponsiveSince = now
-	d.rebuildTables(a.service)
+	d.suspect(now, a)
+	d.tablesChanged(a.service)
 	d.trace.Agent(now, addr, a.service, a.state, "silent")
 }
 
 func (d *Director) removeAgent(now time.Time, a *agent, why string) {
 	delete(d.agents, a.addr)
+	delete(d.suspects, a.addr)
+	delete(d.watched, a.addr)
 	delete(d.queries.outboxes, a.addr)
+	d.contacts.Remove(a.addr)
+	d.removeFromService(a)
 	d.recheckBlocked = true
-	d.rebuildTables(a.service)
 	d.trace.Agent(now, a.addr, a.service, a.state, why)
 }
 
-// rebuildTables rebuilds the placement tables of a service.
-func (d *Director) rebuildTables(id ServiceID) {
+func (d *Director) addToService(a *agent) {
+	v := d.services[a.service]
+	if v == nil {
+		v = &service{agents: make(map[netip.AddrPort]*agent)}
+		d.services[a.service] = v
+	}
+	v.agents[a.addr] = a
+	v.stale = true
+}
+
+func (d *Director) removeFromService(a *agent) {
+	v := d.services[a.service]
+	delete(v.agents, a.addr)
+	v.stale = true
+	if len(v.agents) == 0 {
+		delete(d.services, a.service)
+	}
+}
+
+func (d *Director) moveToService(a *agent, id ServiceID) {
+	if a.service == id {
+		return
+	}
+	d.removeFromService(a)
+	a.service = id
+	d.addToService(a)
+}
+
+// agentsOf returns the agents of a service.
+func (d *Director) agentsOf(id ServiceID) map[netip.AddrPort]*agent {
+	if v := d.services[id]; v != nil {
+		return v.agents
+	}
+	return nil
+}
+
+// tablesChanged has the placement tables of a service rebuilt before their next use.
+// When many agents start at once, they are rebuilt once for each flow instead of once
+// for each agent.
+func (d *Director) tablesChanged(id ServiceID) {
+	if v := d.services[id]; v != nil {
+		v.stale = true
+	}
+}
+
+// allTablesChanged does the same for all services.
+func (d *Director) allTablesChanged() {
+	for _, v := range d.services {
+		v.stale = true
+	}
+}
+
+// tables returns a service with its placement tables, nil if it has no agents.
+func (d *Director) tables(id ServiceID) *service {
+	v := d.services[id]
+	if v != nil && v.stale {
+		d.rebuildTables(v)
+	}
+	return v
+}
+
+func (d *Director) rebuildTables(v *service) {
 	var all, ready []placement.Agent
-	for _, a := range d.agents {
-		if a.service != id || a.ended() {
+	for _, a := range v.agents {
+		if a.ended() {
 			continue
 		}
 		p := placement.Agent{Addr: a.addr, Zone: otherZone, Weight: placement.FullWeight}
@@ -196,22 +330,15 @@
 			ready = append(ready, p)
 		}
 	}
-	if len(all) == 0 {
-		delete(d.services, id)
-		return
-	}
-	v := &service{all: d.newTable(all), ready: d.newTable(ready)}
-	if v.all != nil && v.ready != nil {
-		d.services[id] = v
-	}
+	v.all, v.ready, v.stale = d.newTable(all), d.newTable(ready), false
 }
 
-// newTable returns nil for agents that a table can't hold. There are none: their
-// addresses come from IPv4 sockets and from validated settings.
+// newTable returns an empty table for agents that a table can't hold. There are none:
+// their addresses come from IPv4 sockets and from validated settings.
 func (d *Director) newTable(list []placement.Agent) *placement.Table {
 	t, err := placement.NewTable(d.place, list)
 	if err != nil {
-		return nil
+		return &placement.Table{}
 	}
 	return t
 }
@@ -233,88 +360,21 @@
 	d.sendQueries(now)
 	d.sendAnnouncements(now)
 	d.resumeUndecided(now)
-	for _, a := range d.agents {
-		d.checkAgent(now, a)
-	}
+	d.expireStates(now)
+	d.sendHellos(now)
+	d.helloWatched(now)
+	d.checkAwaited(now)
+	d.checkSuspects(now)
 	d.resumeBlocked(now)
 	if now.Sub(d.lastSweepAt) >= sweepInterval {
 		d.sweep(now)
 	}
 }
 
-// unansweredTimeout is the time after which an agent that has answered none of
-// maxQueryAttempts queries counts as unresponsive. It is six times the time between two
-// queries, and above the pauses of a process on a busy VM.
-const unansweredTimeout = 500 * time.Millisecond
-
-// recordQuery counts a query that the agent has to answer.
-func (a *agent) recordQuery(now time.Time) {
-	if a.unansweredQueries == 0 {
-		a.firstUnansweredAt = now
-	}
-	a.unansweredQueries++
-}
-
-// ignoresQueries reports whether an agent leaves queries unanswered. Reports are less
-// frequent the more agents there are, so that a balancer's bytes stay bounded: with 285
-// agents three of them are missing only after 5.7 s, and until then the callers of all
-// flows that a failed agent is queried for get no answer. Missing answers show the
-// failure sooner, at any fleet size and without extra messages.
-func (a *agent) ignoresQueries(now time.Time) bool {
-	return a.unansweredQueries >= maxQueryAttempts && now.Sub(a.firstUnansweredAt) >= unansweredTimeout
-}
-
-// restartAgentTimeouts restarts the timeouts of all agents after this process was
-// paused.
-func (d *Director) restartAgentTimeouts(now time.Time) {
-	for _, a := range d.agents {
-		if !a.lastReceivedAt.IsZero() {
-			a.lastReceivedAt = now
-		}
-		a.unansweredQueries = 0
-		a.nextHelloAt = now
-	}
-}
-
-// checkAgent sends an agent a hello message if that is due, and checks its timeouts.
-func (d *Director) checkAgent(now time.Time, a *agent) {
-	if !now.Before(a.nextHelloAt) {
-		a.nextHelloAt = now.Add(max(MinHelloInterval, reportsPerHello*d.reportInterval()))
-		hello := Message{Kind: Hello, Wait: d.reportInterval(), Service: a.service}
-		if !d.memberListKnown && now.Sub(d.started) < maxDiscoveryTime {
-			hello.Reason = ReasonState
-		}
-		d.send(a.addr, hello, nil)
-	}
-	d.checkAgentTimeout(now, a)
-	optional := d.answerOptional(now, a)
-	d.recheckBlocked = d.recheckBlocked || optional && !a.answerOptional
-	a.answerOptional = optional
-}
-
-// checkAgentTimeout excludes an agent from new flows, or removes it, when it has sent
-// no message for too long.
-func (d *Director) checkAgentTimeout(now time.Time, a *agent) {
-	if a.lastReceivedAt.IsZero() {
-		return
-	}
-	sinceMessage := now.Sub(a.lastReceivedAt)
-	if sinceMessage >= d.cfg.AgentExpiry {
-		d.removeAgent(now, a, "forgotten")
-		if !a.holdsNoFlows && !a.ended() {
-			d.failedAgents[a.addr] = now
-		}
-		return
-	}
-	if sinceMessage >= max(d.cfg.AgentTimeout, missedReports*d.reportInterval()) || a.ignoresQueries(now) {
-		d.setUnresponsive(now, a.addr)
-	}
-}
-
 // NextTick returns the latest time at which Tick has something to do.
 func (d *Director) NextTick(now time.Time) time.Time {
-	next := now.Add(MinReportInterval)
-	if !d.memberListKnown && len(d.balancers) > 0 && now.Sub(d.started) < maxDiscoveryTime && d.nextMemberListRequest.Before(next) {
+	next := now.Add(tickInterval)
+	if !d.memberListKnown && d.peers.len() > 0 && now.Sub(d.started) < maxDiscoveryTime && d.nextMemberListRequest.Before(next) {
 		next = d.nextMemberListRequest
 	}
 	if at, ok := d.memberCheck.due(); ok && at.Before(next) {
@@ -326,8 +386,13 @@
 	if !d.fleetRecentlyStarted && now.Sub(d.started) < maxDiscoveryTime && now.Add(fleetStartCheckInterval).Before(next) {
 		next = now.Add(fleetStartCheckInterval)
 	}
-	if len(d.announcements) > 0 && d.announceAt.Before(next) {
-		next = d.announceAt
+	for _, list := range d.announcements() {
+		if at, ok := list.due(); ok && at.Before(next) {
+			next = at
+		}
+	}
+	if at, ok := d.nextRequestedHello(now); ok && at.Before(next) {
+		next = at
 	}
 	if d.queries.waiting() && d.queries.nextAt.Before(next) {
 		next = d.queries.nextAt
@@ -353,6 +418,11 @@
 			delete(d.failedAgents, addr) // its flows have reached their greatest age
 		}
 	}
+	d.removeEndedAgents(now)
+	d.peers.expire(now)
+	for addr := range d.failedAgents {
+		d.contacts.Request(addr) // its flows can't be looked up until it answers
+	}
 	idle := d.idleLimit()
 	for key, e := range d.flows {
 		if e.state == entryOpening {
--- a/flow/reset.go
+++ b/flow/reset.go
@@ -90,7 +90,7 @@
 // agent is left to ask, the caller is notified at once.
 func (d *Director) reserveOrReset(now time.Time, e *entry) {
 	r := e.reset
-	v := d.services[r.service]
+	v := d.tables(r.service)
 	if v == nil || r.tries == maxReserveTries || !now.Before(r.notifyBy) {
 		d.sendPendingReset(now, e)
 		return
--- a/flow/restored.go
+++ b/flow/restored.go
@@ -75,22 +75,18 @@
 // before the next hello is due.
 func (d *Director) StoreRestored(now time.Time, first uint64) {
 	d.unconfirmedZones.restored = newStoreRestore(now, first)
-	d.helloOwnZone(now)
+	d.helloOwnZone()
 }
 
-// maxImmediateHellos bounds the agents to which one balancer sends a hello message
-// before it is due. Each balancer picks others, so the balancers of a zone reach nearly
-// all of its agents together.
-const maxImmediateHellos = 64
-
-// helloOwnZone schedules an immediate hello message to agents of the balancer's own
-// zone.
-func (d *Director) helloOwnZone(now time.Time) {
-	scheduled := 0
+// helloOwnZone requests an immediate hello message to agents of the balancer's own zone.
+// Each balancer picks others, so the balancers of a zone reach nearly all of its agents
+// together.
+func (d *Director) helloOwnZone() {
+	requested := 0
 	for _, a := range d.agents {
-		if a.local && scheduled < maxImmediateHellos {
-			a.nextHelloAt = now
-			scheduled++
+		if a.local && requested < maxImmediateHellos {
+			d.contacts.Request(a.addr)
+			requested++
 		}
 	}
 }
@@ -99,8 +95,8 @@
 // not written again within the rewrite window.
 func (d *Director) expireUnconfirmedZones(now time.Time) {
 	if d.unconfirmedZones.expire(now) {
-		d.rebuildAllTables()
-		d.helloOwnZone(now)
+		d.allTablesChanged()
+		d.helloOwnZone()
 	}
 }
 
@@ -112,17 +108,18 @@
 		return
 	}
 	if d.unconfirmedZones.add(now, a.zone) {
-		d.rebuildAllTables()
-		d.helloOwnZone(now)
+		d.allTablesChanged()
+		d.helloOwnZone()
 	}
 }
 
 // StoreRestored records that orders numbered first or above were read after the store
-// came back from an older copy. The agent's messages report it to balancers, which may
-// not have read the store since.
+// came back from an older copy. The agent reports it to balancers, which may not have read
+// the store since.
 func (g *Gate) StoreRestored(now time.Time, first uint64) {
 	g.newestOrders = max(g.newestOrders, first)
 	g.restored = newStoreRestore(now, first)
+	g.report(now, true)
 }
 
 // evacuationMayBeMissing reports whether orders that put the zone back into service may
--- a/flow/server.go
+++ b/flow/server.go
@@ -51,7 +51,7 @@
 	switch {
 	case v.ended:
 		return ServerEnded
-	case !v.stateKnown:
+	case !v.stateKnown || g.stopping:
 		return ServerUnknown
 	case v.draining:
 		return ServerDraining
@@ -184,11 +184,13 @@
 	g.stateChanged(now, before, "deregistered")
 }
 
-// Close reports the server as ended, because the agent process ends and an agent is
-// assumed to be stopped only after its server.
+// Close reports that the agent process ends. If its server has ended too, the balancers
+// need not wait for the agent in lookups. Otherwise the server keeps its flows, and the
+// agent's successor answers for them.
 func (g *Gate) Close(now time.Time) {
 	before := g.State(now)
-	g.server.ended = true
+	g.stopping = true
+	g.server.ended = g.server.ended || g.server.absent
 	g.stateChanged(now, before, "stopping")
 }
 
@@ -202,15 +204,16 @@
 	g.report(now, true)
 }
 
-// report sends a report to the balancers for which one is due, or to all.
+// report sends a report to the balancers for which one is due, or to all that are to be
+// notified of a change.
 func (g *Gate) report(now time.Time, all bool) {
-	g.reportAt = now.Add(MinReportInterval)
+	g.reportAt = now.Add(shortestReportInterval)
 	for to, b := range g.balancers {
-		if !all && now.Before(b.reportAt) {
+		if !now.Before(b.reportsUntil) || !all && now.Before(b.reportAt) {
 			continue
 		}
 		// The next report may be half a tick early rather than one tick late.
-		b.reportAt = now.Add(b.reportInterval - MinReportInterval/2)
+		b.reportAt = now.Add(b.reportInterval - shortestReportInterval/2)
 		g.reply(now, to, Message{Kind: Report}, nil)
 	}
 }
--- a/flow/snapshot.go
+++ b/flow/snapshot.go
@@ -40,14 +40,14 @@
 func (d *Director) Snapshot(now time.Time) DirectorSnapshot {
 	b := DirectorSnapshot{
 		Newest: d.newestOrders, ReadAge: ageSince(now, d.readAt), Ready: d.Ready(), Complete: d.knowsAllAgents(now), Flows: len(d.flows),
-		Balancers: slices.Collect(maps.Keys(d.balancers)),
+		Balancers: slices.Clone(d.peers.order),
 		Orders:    d.orders.Number, Evacuated: d.evacuatedZones(), Unconfirmed: slices.Sorted(maps.Keys(d.unconfirmedZones.zones)),
 	}
 	if r := d.orders.Routes; r != nil {
 		b.Revision, b.Routes = r.Revision, r.Len()
 	}
 	for _, a := range d.agents {
-		b.Agents = append(b.Agents, AgentSnapshot{Addr: a.addr, Service: a.service, State: a.state.String(), Unresponsive: a.unresponsive, Age: ageSince(now, a.lastReceivedAt)})
+		b.Agents = append(b.Agents, a.snapshot(now))
 	}
 	for addr := range d.failedAgents {
 		b.Failed = append(b.Failed, addr)
@@ -58,6 +58,19 @@
 	return b
 }
 
+// AgentSnapshot returns the state of one agent at now; ok is false if it is not known.
+func (d *Director) AgentSnapshot(now time.Time, agent netip.AddrPort) (s AgentSnapshot, ok bool) {
+	a := d.agents[agent]
+	if a == nil {
+		return AgentSnapshot{}, false
+	}
+	return a.snapshot(now), true
+}
+
+func (a *agent) snapshot(now time.Time) AgentSnapshot {
+	return AgentSnapshot{Addr: a.addr, Service: a.service, State: a.state.String(), Unresponsive: a.unresponsive, Age: ageSince(now, a.lastReceivedAt)}
+}
+
 // never is the age of an event that has not happened.
 const never = -time.Second
 
--- a/flow/status_check.go
+++ b/flow/status_check.go
@@ -103,7 +103,7 @@
 	before := g.State(now)
 	switch {
 	case c.Absent:
-		v.confirmedAt = time.Time{}
+		v.confirmedAt, v.absent = time.Time{}, true
 		g.statusChecks.failed(now)
 	case c.Instance == "" || c.Instance != v.instance:
 		g.statusChecks.failed(now)
--- a/internal/flowagent/agent.go
+++ b/internal/flowagent/agent.go
@@ -45,8 +45,10 @@
 }
 
 const (
-	// checkTimeout bounds a status check.
-	checkTimeout = 500 * time.Millisecond
+	// checkTimeout bounds a status check, and finalCheckTimeout the last one before the
+	// process ends.
+	checkTimeout      = 500 * time.Millisecond
+	finalCheckTimeout = 100 * time.Millisecond
 	// reuseMargin is how long before the end of the address reuse delay the server's state
 	// expires.
 	reuseMargin = 100 * time.Millisecond
@@ -73,8 +75,7 @@
 	heartbeatTime     prometheus.Histogram
 	invalidHeartbeats prometheus.Counter // hemlock_heartbeats_wrong_total
 	statusChecks      prometheus.Counter // hemlock_status_checks_total
-	checked           bool               // a status check was made; only the goroutine of the checks uses it
-	lastCheck         flow.StatusCheckResult
+	lastCheck         atomic.Pointer[flow.StatusCheckResult]
 
 	eventOutput     *node.Output // guarded by eventMu
 	invalidLoggedAt time.Time    // when an invalid heartbeat was last logged; guarded by eventMu
@@ -137,9 +138,8 @@
 // means the default.
 func stateTTL(s *node.Settings) time.Duration { return max(s.AddressReuseDelay-reuseMargin, 0) }
 
-// addSeeds adds the balancers named in the settings, which then receive the agent's
-// reports and add the agent to their member lists even if the store is not available. The
-// caller holds a.mu, except in New.
+// addSeeds introduces the agent to the balancers named in the settings, which then announce
+// it to others even if the store is not available. The caller holds a.mu, except in New.
 func (a *Agent) addSeeds(seeds []netip.Addr) {
 	for _, seed := range seeds {
 		a.gate.AddBalancer(node.Now(), netip.AddrPortFrom(seed, a.cfg.Settings.InternalPort))
@@ -184,12 +184,16 @@
 // Close implements daemon.Part.
 func (a *Agent) Close() { a.cancel() }
 
-// Drain implements daemon.Part. The platform stops an agent after its server has ended.
-// The agent notifies the balancers at once, and removes its key from the store for
-// balancers that start later: if the key stayed until its lease expires, up to 45 s (the
-// lease's TTL), the lookups of every balancer that starts in that time would wait for an
-// agent that never answers.
+// Drain implements daemon.Part. The platform stops an agent after its server has ended, or
+// restarts it beside a running server. A status check shows which, if the server has not
+// deregistered. The agent reports it to balancers at once, and removes its key from the
+// store for balancers that start later: if the key stayed until its lease expires, up to
+// 45 s (the lease's TTL), the lookups of every balancer that starts in that time would wait
+// for an agent that never answers.
 func (a *Agent) Drain(ctx context.Context) {
+	if !a.serverEnded() {
+		a.checkStatus(ctx, finalCheckTimeout)
+	}
 	a.handleEvent(func(now time.Time) { a.gate.Close(now) })
 	a.registrar.Deregister(ctx)
 }
@@ -369,12 +373,12 @@
 	g.Add(func() error { return a.registrar.Run(a.ctx) }, func(error) { a.cancel() })
 }
 
-// addPeers adds the balancers registered in the store, which then receive the agent's
-// reports.
+// addPeers introduces the agent to balancers registered in the store. Each agent tries them
+// in another order, since it reports to a few of them only.
 func (a *Agent) addPeers(peers []node.Peer) {
 	a.handleEvent(func(now time.Time) {
-		for _, p := range peers {
-			if p.Role == node.RoleBalancer {
+		for _, i := range rand.Perm(len(peers)) {
+			if p := peers[i]; p.Role == node.RoleBalancer {
 				a.gate.AddBalancer(now, p.Addr)
 			}
 		}
@@ -387,7 +391,7 @@
 		for {
 			wait := a.untilStatusCheck()
 			if wait <= 0 {
-				a.checkStatus()
+				a.checkStatus(a.ctx, checkTimeout)
 				continue
 			}
 			select {
@@ -407,16 +411,21 @@
 	return a.gate.NextStatusCheck(now).Sub(now)
 }
 
-// checkStatus checks the server's status. Checks whose result differs from the last one's are
-// logged.
-func (a *Agent) checkStatus() {
-	ctx, cancel := context.WithTimeout(a.ctx, checkTimeout)
+// checkStatus checks the server's status. A result that differs from the last one is logged.
+func (a *Agent) checkStatus(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	check, err := a.cfg.CheckServer(ctx, a.cfg.Settings.Server)
-	if !a.checked || check != a.lastCheck {
+	a.statusChecks.Inc()
+	if last := a.lastCheck.Swap(&check); last == nil || *last != check {
 		a.log.Info("server status checked", zap.String("instance", check.Instance), zap.Bool("answered", check.Answered), zap.Bool("absent", check.Absent), zap.Error(err))
 	}
-	a.checked, a.lastCheck = true, check
-	a.statusChecks.Inc()
 	a.handleEvent(func(now time.Time) { a.gate.StatusCheck(now, check) })
 }
+
+// serverEnded reports whether the server has deregistered.
+func (a *Agent) serverEnded() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.State(node.Now()) == flow.ServerEnded
+}
