propagation: one process reads while the store has no value

Cause: a balancer without a configuration repeated its read of the store every half second, and asked other balancers for the value three times a second, until the operator wrote the first one. Both grow with the number of balancers.

Change: a read that finds nothing is a read like any other: its digest spreads, and one process at a time goes on reading, every 0.4 s. A process that starts still reads at once.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -115,11 +115,14 @@
 
 func outcome(err error) propagation.Outcome {
 	var lost *store.HistoryLostError
+	var missing *store.NotFoundError
 	switch {
 	case err == nil:
 		return propagation.Answered
 	case errors.As(err, &lost):
 		return propagation.HistoryLost
+	case errors.As(err, &missing):
+		return propagation.Absent
 	}
 	return propagation.Failed
 }
--- a/propagation/node.go
+++ b/propagation/node.go
@@ -25,6 +25,9 @@
 	// in the store go unnoticed until a process reads it.
 	startMinReadAge = 150 * time.Millisecond
 	startMaxReadAge = 600 * time.Millisecond
+	// absentReadInterval is the time between two reads by the watcher while the store has no
+	// value.
+	absentReadInterval = 400 * time.Millisecond
 	// responseDelay is the assumed age of a watch's answer at its arrival.
 	responseDelay = 50 * time.Millisecond
 	// Fanout is the number of processes that a digest is sent to. A few processes receive
@@ -90,6 +93,7 @@
 	Answered    Outcome = iota
 	Failed              // no answer, or the store refused the call
 	HistoryLost         // the store no longer has the history since the Watch's revision
+	Absent              // the store has no value
 )
 
 // Digest is the message between processes: the value that the sender has, and the latest
@@ -165,6 +169,12 @@
 // is in force.
 func (n *Node) Behind() bool { return n.revision == 0 || n.newestKnown > n.revision }
 
+// knownAbsent reports whether a process has read the store and found no value, and none is
+// known to exist since. One process at a time then goes on reading.
+func (n *Node) knownAbsent() bool {
+	return n.revision == 0 && n.newestKnown == 0 && n.read.Number > 0
+}
+
 // IsWatcher reports whether this process watches the store for all processes.
 func (n *Node) IsWatcher() bool { return n.watcher }
 
@@ -271,13 +281,13 @@
 	switch {
 	case n.callPending || now.Before(n.nextCallAt):
 		return None
-	case n.revision == 0 || n.readNext:
+	case n.revision == 0 && n.read.Number == 0 || n.readNext:
 		return Read
 	case n.newestKnown > n.revision && !n.receiving && now.Sub(n.behindSince) >= n.readAfter:
 		return Read
-	case n.readFailed(), n.watcher && now.Sub(n.ownReadAt) >= checkEvery:
+	case n.readFailed(), n.watcher && now.Sub(n.ownReadAt) >= n.readInterval():
 		return Read
-	case n.watcher && !now.Before(n.nextWatchAt):
+	case n.watcher && !n.knownAbsent() && !now.Before(n.nextWatchAt):
 		return Watch
 	case n.overdue(now) && !n.overdueDigestAt.IsZero() && now.Sub(n.overdueDigestAt) >= digestAnswerWait:
 		return Read
@@ -285,6 +295,14 @@
 	return None
 }
 
+// readInterval is the time between two reads of a watcher.
+func (n *Node) readInterval() time.Duration {
+	if n.knownAbsent() {
+		return absentReadInterval
+	}
+	return checkEvery
+}
+
 // Due reports whether a call of the store or a query to other processes is due.
 func (n *Node) Due(now time.Time) bool {
 	_, fetch := n.Fetch(now)
@@ -307,7 +325,7 @@
 func (n *Node) CallStarted(now time.Time, c Call) {
 	n.callPending = true
 	n.callNumber = n.read.Number + 1
-	n.watcher = n.watcher || c == Read && n.revision != 0 && (n.readFailed() || n.overdue(now))
+	n.watcher = n.watcher || c == Read && (n.revision != 0 || n.knownAbsent()) && (n.readFailed() || n.overdue(now))
 }
 
 // CallDone records the end of a call that started at startedAt. If the call returned a
@@ -316,7 +334,7 @@
 	n.callPending = false
 	n.readNext = c == Watch && o != Answered // a watch that was cut may have missed a change
 	switch {
-	case o == Answered:
+	case o == Answered, o == Absent && n.revision == 0:
 		n.recordAnswer(now, c, startedAt)
 	case c == Watch:
 		n.recordWatchFailure(startedAt)
@@ -406,7 +424,7 @@
 	if len(n.sources) > 0 {
 		return n.sources[0], true
 	}
-	if !n.Behind() {
+	if !n.Behind() || n.knownAbsent() {
 		return netip.AddrPort{}, false
 	}
 	waited := n.revision == 0 || now.Sub(n.behindSince) >= sourceWait
@@ -441,7 +459,7 @@
 // is due. A process whose latest read is overdue also sends one: processes that know of a
 // later read answer it.
 func (n *Node) NextDigest(now time.Time) (d Digest, ok bool) {
-	if n.revision != 0 && !n.watcher && n.overdue(now) && n.overdueDigestAt.IsZero() {
+	if (n.revision != 0 || n.knownAbsent()) && !n.watcher && n.overdue(now) && n.overdueDigestAt.IsZero() {
 		n.overdueDigestAt = now
 		n.digestDue = true
 	}
--- a/propagation/node_test.go
+++ b/propagation/node_test.go
@@ -46,11 +46,18 @@
 )
 
 func newFleet(processes int, seed uint64) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), delay: defaultDelay, revision: 1, failsCallsOf: func(int) bool { return false }}
+	f := startFleet(processes, seed)
+	f.revision = 1
+	f.advance(5 * time.Second)
+	return f
+}
+
+// startFleet returns a fleet that starts while the store has no value.
+func startFleet(processes int, seed uint64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), delay: defaultDelay, failsCallsOf: func(int) bool { return false }}
 	for i := range processes {
 		f.processes = append(f.processes, &process{i: i, n: New(f.rng)})
 	}
-	f.advance(5 * time.Second)
 	return f
 }
 
@@ -152,6 +159,8 @@
 		o = Failed
 	} else if c == Watch && f.historyLost {
 		o = HistoryLost
+	} else if f.revision == 0 {
+		o = Absent
 	} else if c == Read || !f.watchesBlocked {
 		f.applied(p, f.revision)
 	}
@@ -207,6 +216,28 @@
 // maxPropagation is the time in which a change has to be in force in all processes.
 const maxPropagation = 3 * time.Second
 
+// Guards against calls of the store that grow with the number of processes while the
+// operator has not written anything yet: each process without a value repeated its read.
+func TestCallsDoNotGrowWithProcessesBeforeFirstValue(t *testing.T) {
+	const span = 10 * time.Second
+	for _, processes := range []int{1, 30, 300} {
+		f := startFleet(processes, 5)
+		f.advance(time.Second)
+		f.calls = 0
+		f.advance(span)
+		if limit := int(2 * span / absentReadInterval); f.calls > limit {
+			t.Errorf("%d processes: %d calls in %v, want %d at most", processes, f.calls, span, limit)
+		}
+		f.calls = 0
+		if d := f.change(maxPropagation); d >= time.Second {
+			t.Errorf("%d processes: the first value is in force everywhere after %v", processes, d)
+		}
+		if limit := 20; f.calls > limit {
+			t.Errorf("%d processes: %d calls until the first value was in force everywhere, want %d at most", processes, f.calls, limit)
+		}
+	}
+}
+
 // Guards against a call rate of the store that grows with the number of processes.
 func TestCallsDoNotGrowWithProcesses(t *testing.T) {
 	const span, changes = 60 * time.Second, 30
