--- /dev/null
+++ b/flow/announce_test.go
@@ -0,0 +1,124 @@
+package flow
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// announceWorld returns two balancers that know each other and an agent, and the agent as
+// balancer A knows it.
+func announceWorld(t *testing.T) (w *world, a *agent) {
+	w = newWorld(t, 2)
+	w.balancers[balancerA].AddBalancer(balancerB)
+	w.balancers[balancerB].AddBalancer(balancerA)
+	w.advance(time.Second)
+	return w, w.balancers[balancerA].agents[agentAddr(0)]
+}
+
+// announce passes an announcement of the agent to balancer A. receivedAgo is the time since
+// its sender received the agent's last message.
+func (w *world) announce(kind MessageKind, a *agent, receivedAgo time.Duration) {
+	m := member{addr: a.addr, service: a.service, receivedAt: w.now.Add(-receivedAgo)}
+	w.balancers[balancerA].FromBalancer(w.now, balancerB, &Message{Kind: kind}, m.append(nil, w.now))
+}
+
+// Guards against flows that wait for a failed agent: another balancer has noticed its failure.
+func TestAnnouncedFailureExcludesAgent(t *testing.T) {
+	w, a := announceWorld(t)
+	d := w.balancers[balancerA]
+	a.lastReceivedAt = w.now.Add(-3 * time.Second)
+	w.announce(AnnounceFailed, a, 2*time.Second)
+	if d.mayOffer(a) {
+		t.Error("offered flows after its failure was announced")
+	}
+	w.announce(Announce, a, time.Second)
+	if !d.mayOffer(a) {
+		t.Error("offered no flows after another balancer received a later message from it")
+	}
+}
+
+// Guards against an agent that gets no flows because one balancer is cut off from it.
+func TestFailureIsContradictedByLaterMessage(t *testing.T) {
+	w, a := announceWorld(t)
+	d := w.balancers[balancerA]
+	d.Effects()
+	w.announce(AnnounceFailed, a, 2*time.Second)
+	if !d.mayOffer(a) {
+		t.Error("excluded although this balancer has received a later message from it")
+	}
+	w.now = w.now.Add(announceInterval)
+	d.Tick(w.now)
+	if !slices.ContainsFunc(d.Effects(), func(e Effect) bool { return e.Message.Kind == Announce }) {
+		t.Error("the later message is not announced")
+	}
+}
+
+// Guards against an old announcement that excludes an agent which has recovered since.
+func TestOldFailureIsIgnored(t *testing.T) {
+	w, a := announceWorld(t)
+	a.lastReceivedAt = time.Time{}
+	w.announce(AnnounceFailed, a, maxFailureAge)
+	if !w.balancers[balancerA].mayOffer(a) {
+		t.Error("excluded for a failure of which the last message is too old")
+	}
+}
+
+// Guards against the reset of an open flow: a server ended and another agent has started at
+// the address, and an announcement of the end arrives late.
+func TestLateAnnouncementOfEndIsIgnored(t *testing.T) {
+	w, a := announceWorld(t)
+	w.announce(AnnounceEnded, a, time.Second)
+	if a.ended() {
+		t.Error("counts as ended after a later message")
+	}
+	a.lastReceivedAt = w.now.Add(-10 * time.Second)
+	w.announce(AnnounceEnded, a, maxEndAge)
+	if a.ended() {
+		t.Error("counts as ended by an announcement that is too old")
+	}
+	w.announce(AnnounceEnded, a, 0)
+	if !a.ended() {
+		t.Error("does not count as ended")
+	}
+}
+
+// Guards against announcements that circulate between balancers for good.
+func TestKnownAnnouncementsAreNotPassedOn(t *testing.T) {
+	for _, kind := range []MessageKind{Announce, AnnounceEnded, AnnounceFailed} {
+		w, a := announceWorld(t)
+		d := w.balancers[balancerA]
+		a.lastReceivedAt = w.now.Add(-3 * time.Second)
+		passedOn := 0
+		for range 10 {
+			d.Effects()
+			w.announce(kind, a, time.Second)
+			w.now = w.now.Add(announceInterval)
+			d.Tick(w.now)
+			for _, e := range d.Effects() {
+				if e.Message.Kind == kind {
+					passedOn++
+				}
+			}
+		}
+		if passedOn > announceFanout {
+			t.Errorf("%v passed on in %d messages", kind, passedOn)
+		}
+	}
+}
+
+// Guards against a damaged list of agents that a balancer reads beyond its end.
+func TestPartialAnnouncementIsIgnored(t *testing.T) {
+	w, a := announceWorld(t)
+	d := w.balancers[balancerA]
+	b := a.member().append(nil, w.now)
+	agents := len(d.agents)
+	for _, kind := range []MessageKind{Announce, AnnounceEnded, AnnounceFailed, MemberList} {
+		for n := range len(b) {
+			d.FromBalancer(w.now, balancerB, &Message{Kind: kind}, b[:n])
+		}
+	}
+	if len(d.agents) != agents || a.ended() || a.unresponsive {
+		t.Errorf("%d agents known, %d before; ended %v, unresponsive %v", len(d.agents), agents, a.ended(), a.unresponsive)
+	}
+}
--- a/flow/contact.go
+++ b/flow/contact.go
@@ -16,11 +16,11 @@
 	hellosPerSecond = 75
 	// hellosPerAgent is the number of hello messages per second that an agent gets in turn
 	// from all balancers together.
-	hellosPerAgent = 4
+	hellosPerAgent = 3
 	// maxWatchers is the number of balancers that an agent asks for a hello message every
 	// watchInterval. They notice its failure within watchInterval and AgentTimeout, and
 	// announce it to the others.
-	maxWatchers   = 6
+	maxWatchers   = 4
 	watchInterval = 750 * time.Millisecond
 	// watcherTimeout is the time without a message after which an agent asks another
 	// balancer.
