Agents leave their server's identity in the store for their successors

Cause: after a loss of power the flows that ended with it are reset once a balancer knows that no server can hold them. Whether an agent's server is new showed in the sequence number of the first heartbeat, if that came within 2 s of the agent's start. In the whole fleet heartbeats come every 5 s, and the first is sent before the agent runs. So no balancer recognised the start of the fleet: each packet of each ended flow was passed to the servers of all agents to see their reaction, and callers waited until their deadlines.

On the small twin with heartbeats every 5 s agents find their server by the first status check, 20 ms after their start, and no heartbeat follows.

Change: an agent's key holds the identity of its server. The next agent at this address compares it with that of the server that it finds; if it differs, both have recently started. A key is written once the server is known, unless no balancer is there to which the agent could introduce itself, and again when the server is another one. The start of the fleet is assumed only if that holds for all agents, as before.

Tests: TestFleetStartIsDetectedWithoutHeartbeats, TestServerIdentityIsLeftForLaterProcess; TestOneOfTwoProcessesThatStartTogetherFindsTheOther also with an agent that waits.

--- a/flow/fleet_start_test.go
+++ b/flow/fleet_start_test.go
@@ -306,3 +306,44 @@
 		t.Errorf("%d resets, want 1", len(w.resets))
 	}
 }
+
+// Guards against callers of ended flows that wait until their deadlines after a power loss of a
+// fleet whose servers send heartbeats several seconds apart: the first that agents receive come
+// after that time. The store has the identity of the server that each agent had before.
+func TestFleetStartIsDetectedWithoutHeartbeats(t *testing.T) {
+	const flows = 40
+	for _, c := range []struct {
+		name   string
+		same   bool // the server of one agent is the one that it had before
+		resets int  // at least, of the flows that are asked for without their packets
+	}{{"all servers are new", false, flows / 2}, {"one server kept running", true, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, 20)
+			for n := range len(w.agents) {
+				previous := w.server(n).instance
+				if !c.same || n > 0 {
+					w.server(n).instance += "-again"
+				}
+				g := w.restartAgent(n)
+				g.StatusCheck(w.now, StatusCheckResult{Answered: true, Instance: w.server(n).instance})
+				g.PreviousInstance(w.now, previous)
+			}
+			d := w.addBalancer(balancerA)
+			for n := range len(w.agents) {
+				d.AddAgent(w.now, agentAddr(n), listing, "a")
+			}
+			d.StoreListed()
+			d.peerRecentlyStarted = true
+			for n := range len(w.agents) {
+				w.server(n).unresponsive = true // does not answer packets of unknown flows
+			}
+			for port := range uint16(flows) {
+				w.caller(port+1, listingPort).send(balancerA, Segment{Seq: 5, Ack: 77, HasAck: true, Data: 10})
+			}
+			w.advance(500 * time.Millisecond)
+			if n := len(w.resets); n < c.resets || c.resets == 0 && n > 0 {
+				t.Errorf("%d resets, want %d", n, c.resets)
+			}
+		})
+	}
+}
--- a/flow/gate.go
+++ b/flow/gate.go
@@ -159,6 +159,7 @@
 	balancers        map[netip.AddrPort]*subscriber
 	introductions    int  // balancers to which the agent has reported by itself
 	stopping         bool // the process ends
+	previousInstance string
 	reportAt         time.Time
 	lastTickAt       time.Time
 	lastSweepAt      time.Time
@@ -309,9 +310,24 @@
 }
 
 // recentlyStarted reports whether the server and this process have recently started. If
-// this process has the server's every flow, the server started after it.
+// this process has the server's every flow, the server started after it; if an earlier
+// process at this address had another server, the server started after that process.
 func (g *Gate) recentlyStarted(now time.Time) bool {
-	return (g.server.recentlyStarted || g.complete(now)) && now.Sub(g.started) < fleetStartWindow
+	newServer := g.previousInstance != "" && g.server.instance != "" && g.server.instance != g.previousInstance
+	return (g.server.recentlyStarted || g.complete(now) || newServer) && now.Sub(g.started) < fleetStartWindow
+}
+
+// Instance returns the identity of the server, empty while it is not known.
+func (g *Gate) Instance() string { return g.server.instance }
+
+// PreviousInstance records the identity of the server that an earlier process at this
+// address had, as that process left it in the store; empty if it is not known. With
+// heartbeats several seconds apart it shows sooner than they do that the server is new.
+func (g *Gate) PreviousInstance(now time.Time, instance string) {
+	g.previousInstance = instance
+	if g.recentlyStarted(now) {
+		g.report(now, true)
+	}
 }
 
 // holdsNoFlows reports whether the server holds no flow and, in its present state, gets no
--- a/internal/flowagent/agent.go
+++ b/internal/flowagent/agent.go
@@ -128,7 +128,9 @@
 		InvalidKeys: node.NewInvalidKeys(reg),
 		Log:         log,
 
-		StoreRestored: a.storeRestored,
+		Instance:         a.instance,
+		PreviousInstance: a.previousInstance,
+		StoreRestored:    a.storeRestored,
 	}
 	registerMetrics(reg, a)
 	return a, nil
@@ -385,6 +387,19 @@
 	})
 }
 
+// instance returns the server's identity, empty while it is not known.
+func (a *Agent) instance() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.Instance()
+}
+
+// previousInstance processes the identity of the server that an earlier agent at this address
+// has left in the store.
+func (a *Agent) previousInstance(instance string) {
+	a.handleEvent(func(now time.Time) { a.gate.PreviousInstance(now, instance) })
+}
+
 // addStatusChecks adds the goroutine that checks the server's status whenever that is due.
 func (a *Agent) addStatusChecks(g *run.Group) {
 	g.Add(func() error {
--- a/internal/node/registrar.go
+++ b/internal/node/registrar.go
@@ -39,6 +39,16 @@
 	Addr    netip.AddrPort `json:"addr"` // UDP, for messages between processes
 	Zone    string         `json:"zone"`
 	Service string         `json:"service,omitempty"` // agents only
+	// Instance is the identity of the agent's backend server when the key was written,
+	// empty if it was not known.
+	Instance string `json:"instance,omitempty"`
+}
+
+// sameProcess reports whether both are registrations of the same process, whatever server
+// was beside it.
+func (p Peer) sameProcess(o Peer) bool {
+	p.Instance, o.Instance = "", ""
+	return p == o
 }
 
 // PeersPrefix is the prefix of the keys of all processes.
@@ -105,6 +115,15 @@
 	// reclaimJitter bounds the random delay between the notice that the store was restored
 	// from an older copy and the renewal of the lease. Keys have to be back within two seconds.
 	reclaimJitter = 500 * time.Millisecond
+	// instanceWait is how long an agent's first registration waits until the identity of its
+	// server is known, which saves a second write of the key. Until then balancers learn of
+	// the agent from its own messages.
+	instanceWait = 30 * time.Second
+	// instancePoll is the time between two checks of that identity while the key does not
+	// have it, and instanceJitter bounds the random delay until it is written: after a power
+	// loss all servers are new.
+	instancePoll   = 250 * time.Millisecond
+	instanceJitter = time.Second
 	// retryBase and retryMax bound the delay between retries of failed calls. Keys have to be
 	// back within two seconds of the store's return. Refused calls cost as much as others: with
 	// retries every 1 s, and every 150 ms at the start, 82 processes make a third more calls on
@@ -129,14 +148,23 @@
 	// is the first to show that the store was restored from an older copy. version is the
 	// lowest version of the new store era.
 	StoreRestored func(version uint64)
-	InvalidKeys   prometheus.Counter // hemlock_store_keys_wrong_total: keys that are no valid registration, counted at every read
-	Log           *zap.Logger
+	// Instance returns the identity of the agent's backend server, empty while it is not known.
+	// PreviousInstance is called once, with the identity in the key that an earlier process at
+	// this address has left, empty if there is none. Both are nil for a balancer.
+	Instance         func() string
+	PreviousInstance func(instance string)
+	InvalidKeys      prometheus.Counter // hemlock_store_keys_wrong_total: keys that are no valid registration, counted at every read
+	Log              *zap.Logger
 
 	mu           sync.Mutex // guards lease
 	lease        store.LeaseID
 	renewAt      time.Time
 	registeredAt time.Time // when the process's own key was written
+	previousRead bool      // PreviousInstance was called
+	instanceFrom time.Time // when the server's identity is written to the key, if it differs; zero: it does not
+	startedAt    time.Time // when the first step was made
 	listCount    int       // number of lists read
+	peersFound   bool      // some list had another process
 	listAt       time.Time // when the next list is due
 	storeFailing bool
 	deregistered atomic.Bool   // Deregister was called: the key is not written again
@@ -231,12 +259,16 @@
 	return ok && uint64(era) < r.latestEra.Load()
 }
 
-// nextCallAt returns when the next call is due.
+// nextCallAt returns when the next call may be due.
 func (r *Registrar) nextCallAt() time.Time {
-	if r.renewAt.Before(r.listAt) {
-		return r.renewAt
+	next := r.listAt
+	if r.renewAt.Before(next) {
+		next = r.renewAt
+	}
+	if poll := time.Now().Add(instancePoll); r.Instance != nil && poll.Before(next) {
+		next = poll
 	}
-	return r.listAt
+	return next
 }
 
 // revokeTimeout bounds the time that Deregister takes.
@@ -294,9 +326,11 @@
 	}
 }
 
-// step makes the calls that are due. The process writes its own key before it lists the
+// step makes the calls that are due. A balancer writes its own key before it lists the
 // others. Of two processes that start at the same time, at least the later one then finds
-// the other.
+// the other. An agent that waits for its server's identity lists the balancers before; if
+// there is none yet, to which it could introduce itself, it writes its key at once and lists
+// them again.
 func (r *Registrar) step(ctx context.Context) error {
 	if r.deregistered.Load() {
 		r.renewAt, r.listAt = time.Now().Add(listInterval), time.Now().Add(listInterval)
@@ -305,9 +339,18 @@
 	if err := r.ensureLease(ctx); err != nil {
 		return err
 	}
+	if err := r.updateInstance(ctx); err != nil {
+		return err
+	}
 	if time.Now().Before(r.listAt) {
 		return nil
 	}
+	if err := r.list(ctx); err != nil || r.leaseID() != "" || r.awaitsInstance() {
+		return err
+	}
+	if err := r.ensureLease(ctx); err != nil {
+		return err
+	}
 	return r.list(ctx)
 }
 
@@ -317,24 +360,91 @@
 	if r.leaseID() != "" {
 		return r.renew(ctx)
 	}
+	if r.startedAt.IsZero() {
+		r.startedAt = time.Now()
+	}
+	if r.previousRead && r.awaitsInstance() {
+		return nil
+	}
 	own, err := r.ownKey(ctx, true)
 	if err != nil {
 		return err
 	}
+	r.reportPrevious(own)
+	if own == nil && r.awaitsInstance() {
+		r.renewAt = time.Now().Add(instancePoll)
+		return nil
+	}
 	return r.takeOverOrRegister(ctx, own)
 }
 
+// reportPrevious passes the server's identity in the key of an earlier process to
+// PreviousInstance.
+func (r *Registrar) reportPrevious(own *store.Item) {
+	if r.PreviousInstance == nil || r.previousRead {
+		return
+	}
+	r.previousRead = true
+	previous := ""
+	if own != nil {
+		if p, err := parsePeer(own.Key, own.Data); err == nil {
+			previous = p.Instance
+		}
+	}
+	r.Self.Instance = previous
+	r.PreviousInstance(previous)
+}
+
+// awaitsInstance reports whether a first registration waits for the server's identity.
+func (r *Registrar) awaitsInstance() bool {
+	known := r.listCount == 0 || r.peersFound
+	return r.Instance != nil && r.Instance() == "" && known && time.Since(r.startedAt) < instanceWait
+}
+
+// updateInstance writes the server's identity to the process's own key if it has changed. A
+// process that starts at this address later compares it with that of its server.
+func (r *Registrar) updateInstance(ctx context.Context) error {
+	if r.Instance == nil || r.leaseID() == "" {
+		return nil
+	}
+	instance := r.Instance()
+	if instance == "" || instance == r.Self.Instance {
+		r.instanceFrom = time.Time{}
+		return nil
+	}
+	if r.instanceFrom.IsZero() {
+		r.instanceFrom = time.Now().Add(rand.N(instanceJitter))
+	}
+	if time.Now().Before(r.instanceFrom) {
+		return nil
+	}
+	r.Self.Instance = instance
+	if err := r.putKey(ctx, r.leaseID()); err != nil {
+		r.Self.Instance = ""
+		return err
+	}
+	return nil
+}
+
+// putKey writes the process's own key.
+func (r *Registrar) putKey(ctx context.Context, lease store.LeaseID) error {
+	data, err := json.Marshal(r.Self)
+	if err != nil {
+		return err
+	}
+	return r.Store.Put(ctx, r.Self.key(), data, lease)
+}
+
 // register writes the process's own key under a new lease.
 func (r *Registrar) register(ctx context.Context) error {
 	lease, err := r.Store.Grant(ctx, leaseTTL)
 	if err != nil {
 		return err
 	}
-	data, err := json.Marshal(r.Self)
-	if err != nil {
-		return err
+	if r.Instance != nil {
+		r.Self.Instance = r.Instance()
 	}
-	if err := r.Store.Put(ctx, r.Self.key(), data, lease); err != nil {
+	if err := r.putKey(ctx, lease); err != nil {
 		return err
 	}
 	r.setLease(lease)
@@ -393,7 +503,9 @@
 		return err
 	}
 	r.observeItems(items)
-	r.PeersListed(r.parsePeers(items))
+	peers := r.parsePeers(items)
+	r.peersFound = r.peersFound || len(peers) > 0
+	r.PeersListed(peers)
 	if err := r.checkOwnKey(ctx); err != nil {
 		return err
 	}
@@ -453,7 +565,7 @@
 	}
 	r.observeItems(items)
 	for n := range items {
-		if p, err := parsePeer(items[n].Key, items[n].Data); err == nil && p == r.Self {
+		if p, err := parsePeer(items[n].Key, items[n].Data); err == nil && p.sameProcess(r.Self) {
 			return &items[n], nil
 		}
 	}
@@ -475,9 +587,9 @@
 
 // checkOwnKey registers the process again if its key is missing: the store may remove keys
 // without ending their leases. It skips the check for ownKeyGrace after the key was written,
-// since a stale read may lack the key.
+// since a stale read may lack the key, and while there is no key yet.
 func (r *Registrar) checkOwnKey(ctx context.Context) error {
-	if time.Since(r.registeredAt) < ownKeyGrace {
+	if r.leaseID() == "" || time.Since(r.registeredAt) < ownKeyGrace {
 		return nil
 	}
 	own, err := r.ownKey(ctx, true)
--- a/internal/node/registrar_test.go
+++ b/internal/node/registrar_test.go
@@ -164,11 +164,16 @@
 // before they wrote their own, neither would find the other.
 func TestOneOfTwoProcessesThatStartTogetherFindsTheOther(t *testing.T) {
 	for _, order := range [][]Peer{{agentPeer, balancerPeer}, {balancerPeer, agentPeer}} {
-		for at := range 3 {
+		for at := range 6 {
 			s := newKeyStore()
 			first, foundByFirst := newRegistrar(s, order[0])
 			second, foundBySecond := newRegistrar(s, order[1])
-			s.fromList = at
+			for _, r := range []*Registrar{first, second} {
+				if r.Self.Role == RoleAgent && at%2 > 0 {
+					r.Instance, r.PreviousInstance = func() string { return "" }, func(string) {}
+				}
+			}
+			s.fromList = at / 2
 			s.duringList = func() {
 				if err := second.step(context.Background()); err != nil {
 					t.Error(err)
@@ -230,3 +235,43 @@
 		}
 	}
 }
+
+// Guards against callers of ended flows that wait until their deadlines after a power loss of a
+// fleet whose servers send heartbeats several seconds apart. The agent can't tell a new server
+// from one that holds flows, unless its predecessor has left the server's identity.
+func TestServerIdentityIsLeftForLaterProcess(t *testing.T) {
+	s := newKeyStore()
+	balancer, _ := newRegistrar(s, balancerPeer)
+	if err := balancer.step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	clear(s.calls)
+	instance := ""
+	start := func() (r *Registrar, previous *string) {
+		r, _ = newRegistrar(s, agentPeer)
+		r.Instance = func() string { return instance }
+		r.PreviousInstance = func(p string) { previous = &p }
+		if err := r.step(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		return r, previous
+	}
+	first, previous := start()
+	if previous == nil || *previous != "" {
+		t.Fatalf("previous server %v before any agent had one", previous)
+	}
+	for _, instance = range []string{"i-1", "i-2"} {
+		for range 2 {
+			first.instanceFrom = time.Now()
+			if err := first.step(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, previous = start(); *previous != instance {
+			t.Errorf("previous server %q, want %q", *previous, instance)
+		}
+	}
+	if s.calls["grant"] != 1 || s.calls["put"] != 2 {
+		t.Errorf("calls %v, want one grant and a put for each server", s.calls)
+	}
+}
