The identity in an agent's key counts only where heartbeats are distant

Cause: an agent whose store was unavailable could not record a new server; its successor then took a server that had run for a while for a new one. In a small fleet whose processes all restart, balancers could have recorded flows as lost that servers hold.

--- a/flow/gate.go
+++ b/flow/gate.go
@@ -313,8 +313,18 @@
 // this process has the server's every flow, the server started after it; if an earlier
 // process at this address had another server, the server started after that process.
 func (g *Gate) recentlyStarted(now time.Time) bool {
-	newServer := g.previousInstance != "" && g.server.instance != "" && g.server.instance != g.previousInstance
-	return (g.server.recentlyStarted || g.complete(now) || newServer) && now.Sub(g.started) < fleetStartWindow
+	return (g.server.recentlyStarted || g.complete(now) || g.replacesPrevious()) && now.Sub(g.started) < fleetStartWindow
+}
+
+// replacesPrevious reports whether the server is another one than an earlier process at this
+// address had. That process may not have been able to record its latest server, so heartbeats
+// are preferred where they come in time, and one with a high sequence number overrules.
+func (g *Gate) replacesPrevious() bool {
+	v := &g.server
+	if g.cfg.HeartbeatInterval < recentlyStartedAge || v.longRunning {
+		return false
+	}
+	return g.previousInstance != "" && v.instance != "" && v.instance != g.previousInstance
 }
 
 // Instance returns the identity of the server, empty while it is not known.
--- a/flow/server.go
+++ b/flow/server.go
@@ -26,6 +26,7 @@
 	coldUntil         time.Time
 	coldUnknown       bool        // the server may have become cold since its latest heartbeat
 	recentlyStarted   bool        // the server and this process had both just started at the first heartbeat
+	longRunning       bool        // the first heartbeat received was one of a server that has run for a while
 	candidate         serverStart // unknown start whose heartbeat was rejected
 	candidateSequence uint64      // of that heartbeat
 }
@@ -81,6 +82,7 @@
 	}
 	v.startTimeMs = cmp.Or(b.StartTimeMs, v.startTimeMs)
 	if v.sequence == 0 {
+		v.longRunning = b.Sequence > g.cfg.recentlyStartedSequence()
 		v.recentlyStarted = b.Sequence <= g.cfg.recentlyStartedSequence() && now.Sub(g.started) <= recentlyStartedAge
 		defer g.report(now, true)
 	}
