A new agent at the address of an ended one is announced

A server ended and another agent with a new server started at the address 16 ms later. One balancer received its messages and opened a flow there; the other two had received the end only, and did not ask that agent when the flow reached them.

Cause: only agents that were not known at all were announced. Before ends were announced, each agent reported to every balancer when it started.

Change: a balancer announces an agent whose server had ended when it receives a later message from there, and those to which that is new pass it on.

--- a/flow/announce.go
+++ b/flow/announce.go
@@ -91,14 +91,16 @@
 }
 
 // onAnnounced adds the agents that another balancer has learned of, or has received a
-// message from after they were announced as failed, and announces those of which this is
-// new here. An agent that starts while the store is unavailable may reach only some of the
+// message from after their servers ended or they were announced as failed, and announces
+// those of which this is new here. An agent that starts while the store is unavailable may reach only some of the
 // balancers, and the others must not treat its flows as lost.
 func (d *Director) onAnnounced(now time.Time, members []byte) {
 	for m, rest, ok := nextMember(now, members); ok; m, rest, ok = nextMember(now, rest) {
-		known := d.agents[m.addr] != nil
+		before := d.agents[m.addr]
+		isNew := before == nil || before.ended()
 		d.mergeMember(now, m)
-		if !known || d.retractFailure(m) {
+		isNew = isNew && !d.agents[m.addr].ended()
+		if isNew || d.retractFailure(m) {
 			d.learned.add(now, m)
 		}
 	}
--- a/flow/announce_test.go
+++ b/flow/announce_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -83,6 +84,25 @@
 	}
 }
 
+// Guards against the reset of an open flow: a server ended, a new one was started at its
+// address with a new agent, and that agent is known to another balancer only, which has opened
+// a flow there.
+func TestNewAgentAtAddressOfEndedOneIsAnnounced(t *testing.T) {
+	w, a := announceWorld(t)
+	w.gate(0).Deregister(w.now, w.server(0).instance, 0)
+	w.deliver()
+	w.drops = func(from, to netip.AddrPort) bool { return true } // its VM is replaced
+	w.advance(400 * time.Millisecond)
+	w.drops = func(from, to netip.AddrPort) bool { return from == balancerA || to == balancerA }
+	w.restartAgent(0)
+	w.server(0).instance, w.server(0).flows = "i-new", map[Key]*serverFlow{}
+	w.heartbeat(0, 1, false)
+	w.advance(100 * time.Millisecond)
+	if a.ended() {
+		t.Error("counts as ended after another balancer has received a message from the new agent")
+	}
+}
+
 // Guards against announcements that circulate between balancers for good.
 func TestKnownAnnouncementsAreNotPassedOn(t *testing.T) {
 	for _, kind := range []MessageKind{Announce, AnnounceEnded, AnnounceFailed} {
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -128,7 +128,7 @@
 		d.expectStale(a)
 		fallthrough
 	default:
-		if !known {
+		if !known || before.ended() {
 			d.learned.add(now, a.member())
 		}
 	}
