Announcements grow old as they are passed on

Cause: the age of an agent's last message is sent in units of 50 ms, rounded down. Each balancer passes an announcement on after 10 ms, so its age stayed 0 however often it was passed on. The end of a server and the start of the next one at its address, or a failure and a later message, both stayed the latest news, and each replaced the other for good.

Change: the age is rounded up unless the balancer that names the agent received the message itself; ends and failures are compared with the latest message that any balancer has received; an agent is announced once at a time, and groups of announcements are 50 ms apart, so that no fault of this kind costs more than some hundred messages a second.

Tests: TestAnnouncementGrowsOldAsItIsPassedOn fails before; TestAnnouncementsDieOut passes before too, on a network without delays.

--- a/flow/announce.go
+++ b/flow/announce.go
@@ -1,12 +1,18 @@
 package flow
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 const (
 	// announceInterval is how long agents are collected before they are announced to other
 	// balancers. After a power loss of the whole fleet each balancer learns of many agents
 	// within milliseconds.
 	announceInterval = 10 * time.Millisecond
+	// announcePause is the shortest time between two groups of announcements of a kind. It
+	// bounds their rate whatever happens to the fleet.
+	announcePause = 50 * time.Millisecond
 	// announceFanout is the number of balancers that an announcement is sent to. Those to
 	// which it is new announce it to as many others, so it reaches 98 of 100 balancers with
 	// four messages of each, however many there are. The others learn of the agent from the
@@ -29,7 +35,9 @@
 type announcements struct {
 	kind    MessageKind
 	pending fifo[announcement]
-	repeats fifo[announcement] // were announced once, ordered by time
+	repeats fifo[announcement]          // were announced once, ordered by time
+	names   map[netip.AddrPort]struct{} // of the agents in pending
+	sentAt  time.Time
 }
 
 // announcement is an agent to announce.
@@ -38,8 +46,17 @@
 	at     time.Time // when it is announced
 }
 
+func newAnnouncements(kind MessageKind) announcements {
+	return announcements{kind: kind, names: make(map[netip.AddrPort]struct{})}
+}
+
+// add has an agent announced, unless that is pending already.
 func (l *announcements) add(now time.Time, m member) {
-	l.pending.push(announcement{m, now.Add(announceInterval)})
+	if _, pending := l.names[m.addr]; pending {
+		return
+	}
+	l.names[m.addr] = struct{}{}
+	l.pending.push(announcement{m, later(now.Add(announceInterval), l.sentAt.Add(announcePause))})
 }
 
 // due returns when the next announcement is due; ok is false if there is none.
@@ -59,6 +76,7 @@
 	if l.pending.len() > 0 && !l.pending.first().at.After(now) {
 		for l.pending.len() > 0 && len(list) < membersPerMessage {
 			m := l.pending.pop().member
+			delete(l.names, m.addr)
 			list = append(list, m)
 			if l.kind != Announce {
 				l.repeats.push(announcement{m, now.Add(repeatInterval)})
@@ -68,6 +86,9 @@
 	for l.repeats.len() > 0 && !l.repeats.first().at.After(now) && len(list) < membersPerMessage {
 		list = append(list, l.repeats.pop().member)
 	}
+	if len(list) > 0 {
+		l.sentAt = now
+	}
 	return list
 }
 
@@ -135,8 +156,8 @@
 	a := d.agents[m.addr]
 	switch {
 	case a == nil || a.ended():
-	case a.lastReceivedAt.After(m.receivedAt.Add(memberAgeSlack)):
-		if !a.unresponsive {
+	case a.latestMessage().After(m.receivedAt.Add(memberAgeSlack)):
+		if !a.unresponsive && a.lastReceivedAt.After(m.receivedAt.Add(memberAgeSlack)) {
 			d.learned.add(now, a.member())
 		}
 	case !a.unresponsive:
@@ -163,7 +184,7 @@
 func (d *Director) onEndAnnounced(now time.Time, m member) {
 	delete(d.failedAgents, m.addr)
 	a := d.agents[m.addr]
-	if a == nil || a.ended() || a.lastReceivedAt.Add(memberAgeSlack).After(m.receivedAt) {
+	if a == nil || a.ended() || a.latestMessage().Add(memberAgeSlack).After(m.receivedAt) {
 		return
 	}
 	a.state = ServerEnded
--- a/flow/announce_test.go
+++ b/flow/announce_test.go
@@ -127,6 +127,55 @@
 	}
 }
 
+// Guards against announcements that contradict each other for good, each passed on as new: an
+// agent ends, and another one starts at its address and fails.
+func TestAnnouncementsDieOut(t *testing.T) {
+	w := newWorld(t, 2)
+	for n := range byte(30) {
+		w.addBalancer(addr(n + 3))
+	}
+	for _, a := range inOrder(w.balancers) {
+		for _, b := range inOrder(w.balancers) {
+			if a != b {
+				w.balancers[a].AddBalancer(b)
+			}
+		}
+		w.balancers[a].AddAgent(w.now, agentAddr(0), listing, "a")
+	}
+	w.advance(time.Second)
+	w.gate(0).Deregister(w.now, w.server(0).instance, 0)
+	w.deliver()
+	w.advance(20 * time.Millisecond)
+	w.restartAgent(0)
+	w.server(0).instance, w.server(0).flows = "i-new", map[Key]*serverFlow{}
+	w.heartbeat(0, 1, false)
+	w.advance(500 * time.Millisecond)
+	w.drops = func(from, to netip.AddrPort) bool { return from == agentAddr(0) || to == agentAddr(0) }
+	w.advance(2 * time.Second)
+	w.drops = nil
+	w.advance(2 * time.Second)
+	w.announced = 0
+	w.advance(2 * time.Second)
+	if w.announced > 0 {
+		t.Errorf("%d announcements in 2 s in which nothing happened", w.announced)
+	}
+}
+
+// Guards against announcements that never grow old: each balancer passes them on after less
+// than the unit of their age.
+func TestAnnouncementGrowsOldAsItIsPassedOn(t *testing.T) {
+	const hops = 20
+	now := time.Unix(1000, 0)
+	m := member{addr: agentAddr(0), service: listing, receivedAt: now, direct: true}
+	for range hops {
+		now = now.Add(announceInterval)
+		m, _, _ = nextMember(now, m.append(nil, now))
+	}
+	if age := now.Sub(m.receivedAt); age < hops*announceInterval {
+		t.Errorf("%v old after %v", age, hops*announceInterval)
+	}
+}
+
 // Guards against a damaged list of agents that a balancer reads beyond its end.
 func TestPartialAnnouncementIsIgnored(t *testing.T) {
 	w, a := announceWorld(t)
--- a/flow/members.go
+++ b/flow/members.go
@@ -19,9 +19,9 @@
 	memberAgeUnit      = 50 * time.Millisecond
 	maxMemberAge       = 0x7f
 	memberHoldsNoFlows = 0x80
-	// memberAgeSlack is by how much a member list may put an agent's last message too
-	// late: the rounding of ages, the time for which announcements are collected, and
-	// the network delay.
+	// memberAgeSlack is by how much a member list may be wrong about the time of an agent's
+	// last message: the rounding of ages, the time for which announcements are collected,
+	// and the network delay.
 	memberAgeSlack = memberAgeUnit + announceInterval + 20*time.Millisecond
 	// membersPerMessage is the number of agents in one message, so that it stays below
 	// the smallest MTU in use.
@@ -245,20 +245,32 @@
 	service      ServiceID
 	receivedAt   time.Time // last message from it
 	holdsNoFlows bool      // as of that message
+	direct       bool      // the balancer that names it received that message itself
 }
 
 // member returns the agent as named to other balancers.
 func (a *agent) member() member {
-	return member{a.addr, a.service, later(a.lastReceivedAt, a.peerReceivedAt), a.holdsNoFlows}
+	return member{
+		addr: a.addr, service: a.service, receivedAt: a.latestMessage(), holdsNoFlows: a.holdsNoFlows,
+		direct: !a.lastReceivedAt.Before(a.peerReceivedAt),
+	}
 }
 
+// latestMessage returns the time of the latest message from the agent to any balancer, as
+// far as this one knows.
+func (a *agent) latestMessage() time.Time { return later(a.lastReceivedAt, a.peerReceivedAt) }
+
 // append appends the encoded member to b.
 func (m member) append(b []byte, now time.Time) []byte {
 	ip := m.addr.Addr().As4()
 	b = append(b, ip[:]...)
 	b = binary.LittleEndian.AppendUint16(b, m.addr.Port())
 	b = binary.LittleEndian.AppendUint64(b, uint64(m.service))
-	last := byte(min(now.Sub(m.receivedAt)/memberAgeUnit, maxMemberAge))
+	age := now.Sub(m.receivedAt) / memberAgeUnit
+	if !m.direct {
+		age++ // what is passed on and on would never grow old if its age were rounded down
+	}
+	last := byte(min(age, maxMemberAge))
 	if m.holdsNoFlows {
 		last |= memberHoldsNoFlows
 	}
@@ -290,7 +302,7 @@
 	d.AddAgent(now, m.addr, m.service, "")
 	a := d.agents[m.addr]
 	a.confirmedByPeer = true
-	if a.ended() && m.receivedAt.After(later(a.lastReceivedAt, a.peerReceivedAt).Add(memberAgeSlack)) {
+	if a.ended() && m.receivedAt.After(a.latestMessage().Add(memberAgeSlack)) {
 		// The other balancer has received a message from a new agent at that address,
 		// beside a new server, which may hold the flow that is being looked up.
 		a.state = ServerUnknown
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -25,6 +25,7 @@
 	segments  []Segment // contents of packets, by the number that the packet carries
 	toCaller  []Segment
 	resets    []Effect
+	announced int                                // messages between balancers that announce an agent
 	drops     func(from, to netip.AddrPort) bool // drops the messages that it reports; nil: all are delivered
 }
 
@@ -223,6 +224,9 @@
 	case SendReset:
 		w.resets = append(w.resets, e)
 	case SendMessage:
+		if k := e.Message.Kind; k == Announce || k == AnnounceEnded || k == AnnounceFailed {
+			w.announced++
+		}
 		if d := w.balancers[e.To]; d != nil && e.Message.Kind.BetweenBalancers() {
 			d.FromBalancer(w.now, from, &e.Message, e.Packet)
 		}
