An announced failure names the message that was not answered

Cause: a failure was announced with the time of the agent's last message to the balancer that noticed it. Another balancer whose last message from the agent was some 100 ms later took that for a contradiction and announced the agent as alive, although it had failed since. In the model at 120 balancers one in a hundred still offered flows to a failed agent after 30 s, once announcements grew old as they should; before, the wrong ages hid it.

Change: the announcement carries the time of the first message that was not answered, and only a message received after that contradicts. A later failure is passed on by balancers that know of an earlier one. All announcements are sent twice. That a server held no flows is not taken over from a balancer whose report is older than the own one.

The model pauses for a second between a failure, a return and an end, which it did not: no agent ends within 20 ms of its start.

--- a/flow/announce.go
+++ b/flow/announce.go
@@ -15,19 +15,19 @@
 	announcePause = 50 * time.Millisecond
 	// announceFanout is the number of balancers that an announcement is sent to. Those to
 	// which it is new announce it to as many others, so it reaches 98 of 100 balancers with
-	// four messages of each, however many there are. The others learn of the agent from the
-	// store.
+	// four messages of each, however many there are.
 	announceFanout = 4
-	// repeatInterval is the time after which an end or a failure is announced once more, to
-	// other balancers. The store does not name ended agents, and for a balancer that does
-	// not learn of the end the agent counts as failed. Two announcements leave out three of
-	// 10,000 balancers.
+	// repeatInterval is the time after which an announcement is sent once more, to other
+	// balancers: two leave out three of 10,000 balancers. For a balancer that does not learn
+	// of an end the agent counts as failed, and an agent whose return it does not learn of
+	// gets no flows of it until its next hello message in turn.
 	repeatInterval = 300 * time.Millisecond
 	// maxEndAge is the age up to which an announced end is accepted. The address of an
 	// agent may be given to another one after a longer time.
 	maxEndAge = 1500 * time.Millisecond
-	// maxFailureAge is the age of an agent's last message up to which its announced failure
-	// is accepted: the time in which those that watch it notice the failure, and its spread.
+	// maxFailureAge is the age of the first message that an agent left unanswered up to which
+	// its announced failure is accepted: the time in which a failure is noticed, and its
+	// spread.
 	maxFailureAge = 4 * time.Second
 )
 
@@ -78,9 +78,7 @@
 			m := l.pending.pop().member
 			delete(l.names, m.addr)
 			list = append(list, m)
-			if l.kind != Announce {
-				l.repeats.push(announcement{m, now.Add(repeatInterval)})
-			}
+			l.repeats.push(announcement{m, now.Add(repeatInterval)})
 		}
 	}
 	for l.repeats.len() > 0 && !l.repeats.first().at.After(now) && len(list) < membersPerMessage {
@@ -149,25 +147,35 @@
 	}
 }
 
-// onFailureAnnounced handles the announced failure of one agent. A balancer that has
-// received a later message from the agent announces that instead: the other one may only
-// be cut off from the agent.
+// onFailureAnnounced handles the announced failure of one agent, which has not answered a
+// message sent at m.receivedAt. A balancer that has received a message from the agent since
+// announces that instead: the other one may only be cut off from the agent.
 func (d *Director) onFailureAnnounced(now time.Time, m member) {
 	a := d.agents[m.addr]
 	switch {
 	case a == nil || a.ended():
-	case a.latestMessage().After(m.receivedAt.Add(memberAgeSlack)):
-		if !a.unresponsive && a.lastReceivedAt.After(m.receivedAt.Add(memberAgeSlack)) {
+	case a.lastReceivedAt.After(m.receivedAt.Add(memberAgeSlack)):
+		if !a.unresponsive {
 			d.learned.add(now, a.member())
 		}
-	case !a.unresponsive:
+	case a.peerReceivedAt.After(m.receivedAt.Add(memberAgeSlack)):
+	case !a.unresponsive || a.failureAnnounced && m.receivedAt.After(a.failedAfter.Add(memberAgeSlack)):
+		d.excludeFailed(now, a, m)
+	}
+}
+
+// excludeFailed excludes an agent from new flows and passes its announced failure on.
+func (d *Director) excludeFailed(now time.Time, a *agent, m member) {
+	if a.holdsNoFlows || !a.stateIsCurrent(now) {
 		a.recordPeerContact(m)
+	}
+	if !a.unresponsive {
 		a.unresponsive, a.unresponsiveSince = true, now
-		a.failureAnnounced, a.failedAfter = true, m.receivedAt
 		d.tablesChanged(a.service)
-		d.failed.add(now, m)
 		d.trace.Agent(now, a.addr, a.service, a.state, "announced as failed")
 	}
+	a.failureAnnounced, a.failedAfter = true, m.receivedAt
+	d.failed.add(now, m)
 }
 
 // onEndsAnnounced records that agents' servers have ended.
--- a/flow/contact.go
+++ b/flow/contact.go
@@ -214,7 +214,9 @@
 		return
 	}
 	a.announcedFailed = true
-	d.failed.add(now, a.member())
+	m := a.member()
+	m.receivedAt = a.firstUnansweredAt
+	d.failed.add(now, m)
 }
 
 // expireAgent removes an agent that does not answer. If it was reached before and its
--- a/flow/lab/control.go
+++ b/flow/lab/control.go
@@ -302,6 +302,7 @@
 // of one agent, with each of several agents in turn.
 func failure(c ControlConfig) (list []figure.Figure) {
 	const agents, limit = 5, 30 * time.Second
+	const pause = time.Second // between two events
 	f := newControlFleet(c)
 	f.Run(settleTime, nil)
 	var failed, back, ended []time.Duration
@@ -310,8 +311,10 @@
 		a := f.agents[addr]
 		a.g = nil
 		failed = append(failed, f.untilAll(addr, limit, func(s flow.AgentSnapshot) bool { return s.Unresponsive })...)
+		f.Run(pause, nil)
 		f.startAgent(addr, a)
 		back = append(back, f.untilAll(addr, limit, func(s flow.AgentSnapshot) bool { return !s.Unresponsive })...)
+		f.Run(pause, nil)
 		a.g.Deregister(f.Now(), "i", 0)
 		f.runAgent(addr, a)
 		ended = append(ended, f.untilAll(addr, limit, func(s flow.AgentSnapshot) bool { return s.State == flow.ServerEnded.String() })...)
--- a/flow/members.go
+++ b/flow/members.go
@@ -243,8 +243,8 @@
 type member struct {
 	addr         netip.AddrPort
 	service      ServiceID
-	receivedAt   time.Time // last message from it
-	holdsNoFlows bool      // as of that message
+	receivedAt   time.Time // last message from it; in an announced failure: first message to it that it left unanswered
+	holdsNoFlows bool      // as of its last message
 	direct       bool      // the balancer that names it received that message itself
 }
 
