An agent's key is written as soon as its server is known

The store was restored from a copy older than the evacuation; the restarted balancers learn of it from an agent that acts on it.

Cause: an agent's first registration waits for its server's identity, which was checked every 250 ms. The copy of the store was older than the agents' keys, and the restarted balancers did not know the agent.

Change: the identity is checked every 20 ms until the key is written; no call of the store.

--- a/internal/node/registrar.go
+++ b/internal/node/registrar.go
@@ -119,11 +119,13 @@
 	// server is known, which saves a second write of the key. Until then balancers learn of
 	// the agent from its own messages.
 	instanceWait = 30 * time.Second
-	// instancePoll is the time between two checks of that identity while the key does not
-	// have it, and instanceJitter bounds the random delay until it is written: after a power
-	// loss all servers are new.
-	instancePoll   = 250 * time.Millisecond
-	instanceJitter = time.Second
+	// instancePoll is the time between two checks of that identity, and firstInstancePoll
+	// the time while the first registration waits for it: until the key is written, processes
+	// that start find the agent only through others. instanceJitter bounds the random delay
+	// until another identity is written: after a power loss all servers are new.
+	instancePoll      = 250 * time.Millisecond
+	firstInstancePoll = 20 * time.Millisecond
+	instanceJitter    = time.Second
 	// retryBase and retryMax bound the delay between retries of failed calls. Keys have to be
 	// back within two seconds of the store's return. Refused calls cost as much as others: with
 	// retries every 1 s, and every 150 ms at the start, 82 processes make a third more calls on
@@ -265,12 +267,20 @@
 	if r.renewAt.Before(next) {
 		next = r.renewAt
 	}
-	if poll := time.Now().Add(instancePoll); r.Instance != nil && poll.Before(next) {
+	if poll := time.Now().Add(r.untilInstancePoll()); r.Instance != nil && poll.Before(next) {
 		next = poll
 	}
 	return next
 }
 
+// untilInstancePoll returns the time until the server's identity is checked again.
+func (r *Registrar) untilInstancePoll() time.Duration {
+	if r.leaseID() == "" {
+		return firstInstancePoll
+	}
+	return instancePoll
+}
+
 // revokeTimeout bounds the time that Deregister takes.
 const revokeTimeout = 300 * time.Millisecond
 
