--- a/internal/node/registrar.go
+++ b/internal/node/registrar.go
@@ -127,9 +127,9 @@
 	firstInstancePoll = 20 * time.Millisecond
 	instanceJitter    = time.Second
 	// retryBase and retryMax bound the delay between retries of failed calls. Keys have to be
-	// back within two seconds of the store's return. Refused calls cost as much as others: with
-	// retries every 1 s, and every 150 ms at the start, 82 processes make a third more calls on
-	// a day with a partial outage of the store, 2,070 instead of 1,594.
+	// back within two seconds of the store's return. A refused call costs as much as an
+	// answered one, and during a partial outage every process that the store refuses makes
+	// such calls.
 	retryBase = 200 * time.Millisecond
 	retryMax  = 1800 * time.Millisecond
 )
