--- a/review/rig/consumer.go
+++ b/review/rig/consumer.go
@@ -92,7 +92,7 @@
 
 // Flow is one flow of a consumer. Its methods are called one at a time.
 type Flow struct {
-	Key      flowKey
+	key      flowKey
 	OpenedAt time.Time
 	UsedAt   time.Time // when its last packet was sent or received
 
@@ -102,16 +102,13 @@
 	packets  chan received
 }
 
-// Consumer and Service return the two ends of the flow.
-func (f *Flow) Consumer() netip.AddrPort { return f.Key.consumer }
-
-// Service returns the address that the flow was opened to.
-func (f *Flow) Service() netip.AddrPort { return f.Key.service }
+// Consumer returns the consumer's end of the flow.
+func (f *Flow) Consumer() netip.AddrPort { return f.key.consumer }
 
 func (f *Flow) send(h platform.Header) {
-	h.Src, h.Dst = f.Key.consumer, f.Key.service
+	h.Src, h.Dst = f.key.consumer, f.key.service
 	f.UsedAt = time.Now()
-	f.c.udp.WriteToUDPAddrPort(h.Encode(), f.c.rig.router.pick(f.Key))
+	f.c.udp.WriteToUDPAddrPort(h.Encode(), f.c.rig.router.pick(f.key))
 }
 
 // wait returns the next packet before the given time.
@@ -129,8 +126,8 @@
 func (c *Consumer) Open(service string) (*Flow, Outcome) {
 	c.mu.Lock()
 	c.port++
-	f := &Flow{Key: flowKey{netip.AddrPortFrom(c.addr, c.port), serviceAddr(service)}, c: c, service: service, seq: rand.Uint32(), packets: make(chan received, 256)}
-	c.flows[f.Key] = f
+	f := &Flow{key: flowKey{netip.AddrPortFrom(c.addr, c.port), serviceAddr(service)}, c: c, service: service, seq: rand.Uint32(), packets: make(chan received, 256)}
+	c.flows[f.key] = f
 	c.mu.Unlock()
 	start := time.Now()
 	for i, after := range firstPacketTimes {
@@ -173,7 +170,7 @@
 	data := []byte(id + " " + f.service)
 	h := platform.Header{Seq: f.seq, Flags: ackFlag, Data: data}
 	f.seq += uint32(len(data))
-	f.c.rig.Record.Add("consumer %s sends %s to %s", f.Key.consumer, id, f.service)
+	f.c.rig.Record.Add("consumer %s sends %s to %s", f.key.consumer, id, f.service)
 	acked := false
 	for pause := firstRetransmission; time.Now().Before(end); pause = min(2*pause, maxRetransmission) {
 		if !acked {
@@ -193,12 +190,12 @@
 				acked = true
 			}
 			if outcome, ended := f.receive(p, id); ended {
-				f.c.rig.Record.Add("consumer %s: %s %s", f.Key.consumer, id, outcome)
+				f.c.rig.Record.Add("consumer %s: %s %s", f.key.consumer, id, outcome)
 				return outcome
 			}
 		}
 	}
-	f.c.rig.Record.Add("consumer %s: %s %s", f.Key.consumer, id, NoAnswer)
+	f.c.rig.Record.Add("consumer %s: %s %s", f.key.consumer, id, NoAnswer)
 	return NoAnswer
 }
 
@@ -221,7 +218,7 @@
 	f.send(platform.Header{Seq: f.seq, Ack: f.ack, Flags: ackFlag})
 	var got, server string
 	if _, err := fmt.Sscanf(string(p.Data), "ok %s %s", &got, &server); err != nil || got != id {
-		f.c.rig.Record.Add("consumer %s: %s gets the answer %q", f.Key.consumer, id, p.Data)
+		f.c.rig.Record.Add("consumer %s: %s gets the answer %q", f.key.consumer, id, p.Data)
 		return 0, false
 	}
 	return Answered, true
@@ -273,5 +270,5 @@
 func (f *Flow) forget() {
 	f.c.mu.Lock()
 	defer f.c.mu.Unlock()
-	delete(f.c.flows, f.Key)
+	delete(f.c.flows, f.key)
 }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -244,7 +244,7 @@
 // Holder returns the server that holds a flow, nil if none does.
 func (r *Rig) Holder(f *Flow) *Server {
 	for _, s := range r.servers {
-		if s.Holds(f.Key.consumer, f.Key.service) {
+		if s.Holds(f.key.consumer, f.key.service) {
 			return s
 		}
 	}
@@ -444,9 +444,3 @@
 	v.cmd.Process.Kill()
 	<-v.exited
 }
-
-// Log returns what the machine's process has written.
-func (v *VM) Log() string {
-	b, _ := os.ReadFile(v.file + ".log")
-	return string(b)
-}
