--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -46,6 +46,8 @@
 	slots      = 5
 	workTime   = 20 * time.Millisecond
 	startLimit = 20 * time.Second
+	// backendDelay is the time by which the backends start later than the agents beside them.
+	backendDelay = 500 * time.Millisecond
 	// HealthPath is the status path of all services.
 	HealthPath = "/health"
 )
@@ -181,6 +183,7 @@
 			return r, err
 		}
 	}
+	time.Sleep(backendDelay)
 	for _, v := range r.Agents {
 		if _, err := v.StartServer(v.service); err != nil {
 			return r, err
