--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -280,9 +280,9 @@
 	return list
 }
 
-// serviceAddr returns the address of a service's route.
+// serviceAddr returns the address of a service's route. It stands in packets only; no socket uses it.
 func serviceAddr(service string) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, service[0]}), servicePort)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 198, 0, service[0]}), servicePort)
 }
 
 // configure writes the operator's config.
