flow: an agent denies a flow only if its server certainly does not hold it

Callers that paused for longer than 20 s on an open flow were reset with their next packet, although the operator's idle time-out allowed the pause and the server held the flow. Requests that may not be repeated failed.

Any removal without proof is such an answer; so was a packet of the server that found no space in a full table.

A flow leaves the table if it was closed, bounced, never opened, its server ended, its port was reused, or it was idle for the maximum age, which is a setting. A flow that is evicted from a full table, or not recorded for lack of space, makes the table incomplete until it would have expired: the agent then asks the server. The same holds if the maximum age is raised.

Idle flows must not cost callers: flows without a packet for 20 s do not count as connections in the reported load, a full table evicts instead of refusing new flows, and an absent server's unopened flows leave the table, so that its agent reports that it holds none. hemlock_flows_removed_total counts removals by reason.

Tests changed: three stepped by the removed constant and step by the maximum age, after which idle flows leave now. TestTrialsDoNotWait had filled the server by offers until the flow table was full, because its server answered first packets that it had not been sent; it offers until the capacity is reached now, and checks the same refusal.

--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -232,7 +232,7 @@
 		data := Segment{Key: key, Seq: 2, Ack: 10, HasAck: true, Data: 68}
 		g.FromBalancer(now, balancerA, &Message{Kind: Pass}, &data, packet)
 		g.FromServer(now, Segment{Key: key, Seq: 10, Ack: 70, HasAck: true, Data: 68}, packet)
-		g.removeFlow(key)
+		g.removeFlow(key, RemovedClosed)
 		g.unanswered.pop()
 		g.unconfirmedFlows.pop()
 		g.Effects()
--- a/flow/fleet_start_test.go
+++ b/flow/fleet_start_test.go
@@ -326,7 +326,7 @@
 					w.server(n).instance += "-again"
 				}
 				g := w.restartAgent(n)
-				g.SetLimits(0, 0, distantHeartbeats)
+				g.SetLimits(w.now, 0, 0, distantHeartbeats)
 				g.StatusCheck(w.now, StatusCheckResult{Answered: true, Instance: w.server(n).instance})
 				g.PreviousInstance(w.now, previous)
 				if c.running && n == 0 {
--- a/flow/gate.go
+++ b/flow/gate.go
@@ -58,9 +58,9 @@
 	// minMeanAnswerTime is the lowest mean answer time at which implausibly fast answers
 	// can be recognized.
 	minMeanAnswerTime = 4 * time.Millisecond
-	// closedLinger is how long a flow stays in the table after both ends have closed it:
-	// an end whose last packet was lost sends it again.
-	closedLinger = 4 * time.Second
+	// idleAfter is the time without a packet after which a flow does not count as a
+	// connection in the reported load. Its caller may have gone without closing it.
+	idleAfter = 20 * time.Second
 	// coldSlowdown is the factor by which a cold server's requests in progress are raised
 	// in the reported load, because it works more slowly.
 	coldSlowdown = 1.6
@@ -99,7 +99,8 @@
 	UnjudgedRequests           uint64 // requests not checked for a missing answer, because too many are
 	ToServer, ToCaller         uint64 // packets
 	Heartbeats, OldHeartbeats  uint64
-	Dropped                    uint64 // packets dropped because a bounded table was full or the server was not known yet
+	Dropped                    uint64           // packets dropped because a bounded table was full or the server was not known yet
+	Removed                    [Removals]uint64 // flows removed from the table
 
 	Outcomes [health.Outcomes]uint64 // requests by what the server did to them
 	Health   health.Status           // gauge: latest reported to balancers
@@ -166,6 +167,8 @@
 	statusChecks     statusChecks
 	flows            map[Key]*gateFlow
 	freeFlows        []*gateFlow       // removed flows, kept for reuse
+	idleFlows        int               // flows without a packet for idleAfter, as of the latest sweep
+	incompleteUntil  time.Time         // until when the server may hold flows that were removed from the table
 	requests         int               // in progress
 	requestTimes     fifo[time.Time]   // start times of the requests within coldWindow, oldest first
 	unanswered       fifo[pendingFlow] // flows whose first packet the server has not answered
@@ -435,7 +438,7 @@
 	busy = g.coldLoad(now, busy)
 	return g.meter.Occupancy(now, placement.Usage{
 		SlotsBusy: busy, Slots: slots, Queue: g.waiting.counts[waitingFlow] + g.waiting.counts[waitingRequest],
-		Connections: len(g.flows), MaxConnections: max(defaultMaxConnections, g.cfg.MaxFlows),
+		Connections: max(len(g.flows)-g.idleFlows, 0), MaxConnections: max(defaultMaxConnections, g.cfg.MaxFlows),
 	})
 }
 
@@ -472,13 +475,10 @@
 
 // admit sends a flow's first packet to the server, unless the table is full.
 func (g *Gate) admit(now time.Time, via netip.AddrPort, key Key, opener uint32, limits requestLimits, packet []byte) {
-	if g.flows[key] == nil && len(g.flows) >= g.cfg.MaxFlows {
-		g.sweep(now)
-		if len(g.flows) >= g.cfg.MaxFlows {
-			g.stats.Dropped++
-			g.refuse(now, via, key, ReasonOverflow)
-			return
-		}
+	if g.flows[key] == nil && !g.makeSpace(now) {
+		g.stats.Dropped++
+		g.refuse(now, via, key, ReasonOverflow)
+		return
 	}
 	g.consumeReservation()
 	f := g.openAtServer(now, via, key, opener, packet)
@@ -544,22 +544,9 @@
 	g.reply(now, to, Message{Kind: Refused, Reason: reason, Key: key}, nil)
 }
 
-// removeFlow removes a flow and keeps its memory for reuse.
-func (g *Gate) removeFlow(key Key) {
-	f := g.flows[key]
-	if f == nil {
-		return
-	}
-	g.endRequest(f)
-	g.forgetRequest(f)
-	g.forgetKept(key, f)
-	delete(g.flows, key)
-	g.freeFlows = append(g.freeFlows, f)
-}
-
 // addFlow adds a flow to the table, in place of any other one with its key.
 func (g *Gate) addFlow(now time.Time, key Key, state gateState) *gateFlow {
-	g.removeFlow(key)
+	g.removeFlow(key, RemovedReplaced)
 	f := take(&g.freeFlows)
 	*f = gateFlow{state: state, instance: g.server.instance, createdAt: now, lastPacketAt: now}
 	g.flows[key] = f
--- a/flow/gate_config.go
+++ b/flow/gate_config.go
@@ -32,11 +32,9 @@
 	RequestTimeout time.Duration
 	// MaxFlows is the highest number of flows in the table.
 	MaxFlows int
-	// MaxAge is the age from which a flow may be discarded.
+	// MaxAge is the age from which a flow may be discarded. A flow without a packet for that
+	// time is removed from the table.
 	MaxAge time.Duration
-	// IdleTimeout is the time without a packet after which a flow is removed from the
-	// table.
-	IdleTimeout time.Duration
 	// CapacityFactor limits the requests in progress, as a multiple of the server's slots;
 	// 0 means DefaultCapacityFactor.
 	CapacityFactor float64
@@ -60,8 +58,6 @@
 	DefaultRequestTimeout = 8 * time.Second
 	// DefaultGateFlows is twice the number of connections that a server accepts.
 	DefaultGateFlows = 4096
-	// DefaultIdleTimeout is above the idle time after which a flow may be discarded.
-	DefaultIdleTimeout = 20 * time.Second
 	// DefaultCapacityFactor is above 1 to keep the server's slots busy while callers
 	// complete the handshake. Further flows wait at the agent, which serves those that can
 	// still be answered in time first.
@@ -80,15 +76,14 @@
 	c.RequestTimeout = cmp.Or(c.RequestTimeout, DefaultRequestTimeout)
 	c.MaxFlows = cmp.Or(c.MaxFlows, DefaultGateFlows)
 	c.MaxAge = cmp.Or(c.MaxAge, DefaultMaxAge)
-	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
 	c.CallerCapacityFactor = cmp.Or(c.CallerCapacityFactor, DefaultCallerCapacityFactor)
 	c.CapacityFactor = cmp.Or(c.CapacityFactor, DefaultCapacityFactor)
 }
 
 // SetLimits changes MaxAge, StateTTL and HeartbeatInterval of the configuration; 0 means
 // the default.
-func (g *Gate) SetLimits(maxAge, stateTTL, heartbeatInterval time.Duration) {
-	g.cfg.MaxAge = cmp.Or(maxAge, DefaultMaxAge)
+func (g *Gate) SetLimits(now time.Time, maxAge, stateTTL, heartbeatInterval time.Duration) {
+	g.setMaxAge(now, cmp.Or(maxAge, DefaultMaxAge))
 	g.cfg.StateTTL = cmp.Or(stateTTL, DefaultStateTTL)
 	g.cfg.HeartbeatInterval = cmp.Or(heartbeatInterval, DefaultHeartbeatInterval)
 }
--- a/flow/held.go
+++ b/flow/held.go
@@ -101,17 +101,10 @@
 	g.requestSent(now, key, f)
 }
 
-// complete reports whether the table has every flow that the server holds: there was no
-// server at the start of this process, every flow of this instance came through this
-// process, or all flows from before have reached their maximum age.
-func (g *Gate) complete(now time.Time) bool {
-	return g.server.absent || g.server.stateKnown && g.server.flowsComplete || now.Sub(g.started) >= g.cfg.MaxAge
-}
-
 // probe sends a packet to the server to find out whether it holds the flow. The server
 // sends back (bounces) packets of flows that it does not hold.
 func (g *Gate) probe(now time.Time, from netip.AddrPort, s *Segment, packet []byte) {
-	if len(g.flows) >= g.cfg.MaxFlows {
+	if !g.makeSpace(now) {
 		g.stats.Dropped++
 		return
 	}
@@ -158,8 +151,8 @@
 // addExistingFlow adds a flow that the server holds and that is not in the table. It
 // returns nil if the table is full.
 func (g *Gate) addExistingFlow(now time.Time, key Key) *gateFlow {
-	if g.flows[key] == nil && len(g.flows) >= g.cfg.MaxFlows {
-		g.stats.Dropped++
+	if g.flows[key] == nil && !g.makeSpace(now) {
+		g.missFlow(now)
 		return nil
 	}
 	return g.addFlow(now, key, gateOpen)
@@ -294,11 +287,11 @@
 	via := f.via
 	switch {
 	case s.first() && f.state == gateOffered:
-		g.removeFlow(s.Key)
+		g.removeFlow(s.Key, RemovedBounced)
 		g.refuse(now, via, s.Key, ReasonBounced)
 	case s.first():
 	case f.state == gateProbed:
-		g.removeFlow(s.Key)
+		g.removeFlow(s.Key, RemovedBounced)
 		g.replyNotHeld(now, via, Lookup, s, ReasonNotHeld, packet)
 	case f.state == gateOpen && !f.closed():
 		g.endRequest(f)
@@ -400,26 +393,3 @@
 	}
 	return next
 }
-
-// sweep removes idle and closed flows and balancers whose subscription has expired, and
-// ends requests that have reached RequestTimeout.
-func (g *Gate) sweep(now time.Time) {
-	g.lastSweepAt = now
-	for key, f := range g.flows {
-		if f.requestActive && now.Sub(f.requestStartedAt) >= g.cfg.RequestTimeout {
-			g.endRequest(f)
-		}
-		idle := now.Sub(f.lastPacketAt)
-		if idle >= g.cfg.IdleTimeout || f.closed() && idle >= closedLinger {
-			g.removeFlow(key)
-		}
-	}
-	for addr, b := range g.balancers {
-		if !now.Before(b.reportsUntil) {
-			delete(g.balancers, addr)
-		}
-	}
-	if len(g.balancers) == 0 {
-		g.unaskedReports = 0 // no balancer may know this agent
-	}
-}
--- a/flow/kept.go
+++ b/flow/kept.go
@@ -72,7 +72,7 @@
 	if !g.mayKeep(now) {
 		return
 	}
-	if !g.hasKeptSpace() || g.flows[key] == nil && len(g.flows) >= g.cfg.MaxFlows {
+	if !g.hasKeptSpace() || g.flows[key] == nil && !g.makeSpace(now) {
 		g.waiting.queue.SetAlarm(e, now.Add(lateOpeningRetry))
 		return
 	}
--- a/flow/kept_test.go
+++ b/flow/kept_test.go
@@ -182,7 +182,7 @@
 			r.FromBalancer(r.now, balancerA, &Message{Kind: Open, Service: listing}, &Segment{Key: key, Seq: 999, Syn: true}, []byte{7})
 		}, "", true},
 		{"sweep", func(r *keptRun, key Key) {
-			r.flows[key].lastPacketAt = r.now.Add(-r.cfg.IdleTimeout)
+			r.flows[key].lastPacketAt = r.now.Add(-r.cfg.MaxAge)
 			r.sweep(r.now)
 		}, "", false},
 		{"deadline", func(r *keptRun, _ Key) { r.now = r.now.Add(keptTimeout); r.Tick(r.now) }, "", true},
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -69,9 +69,18 @@
 	if v.absentChecks < absentChecksNeeded {
 		return
 	}
+	g.loseFlows(now)
+}
+
+// loseFlows records that the server which held the flows in the table has ended. Whether it
+// or another one held a flow that is not open was not known, so such flows are not lost.
+func (g *Gate) loseFlows(now time.Time) {
 	for key, f := range g.flows {
-		if f.state == gateOpen {
+		switch f.state {
+		case gateOpen:
 			g.loseFlow(key, f)
+		case gateOffered, gateAnswered, gateProbed:
+			g.removeFlow(key, RemovedEnded)
 		}
 	}
 	g.planNotices(now)
--- a/flow/server.go
+++ b/flow/server.go
@@ -170,26 +170,28 @@
 	// Every flow of this instance passes through this process if it knew the instance
 	// before, found no server, or receives the instance's first heartbeat.
 	v.flowsComplete = hadInstance || v.absent || b.Sequence <= justStartedSequence
-	for key, f := range g.flows {
-		switch {
-		case f.state == gateLost:
-		case f.state != gateOpen:
-			// Whether this server or another one held the flow was not known, so it
-			// can't be recorded as lost.
-			g.removeFlow(key)
-		case hadInstance:
-			g.loseFlow(key, f)
-		default:
-			f.instance = v.instance
-		}
+	if hadInstance {
+		g.loseFlows(now)
+		g.incompleteUntil = time.Time{}
+	} else {
+		g.adoptFlows()
 	}
-	g.planNotices(now)
 	g.unanswered = fifo[pendingFlow]{}
 	g.health.monitor.Restart(now)
 	g.health.judgedFrom = now
 	g.trace.Instance(now, v.instance, b.Sequence, v.flowsComplete)
 }
 
+// adoptFlows records that the flows in the table belong to the server whose identity has
+// become known.
+func (g *Gate) adoptFlows() {
+	for _, f := range g.flows {
+		if f.state != gateLost {
+			f.instance = g.server.instance
+		}
+	}
+}
+
 // Deregister records that the instance has deregistered because it ends. Deregistrations
 // of an earlier start under the same identity are ignored.
 func (g *Gate) Deregister(now time.Time, instance string, startTimeMs int64) {
--- a/flow/server_health_test.go
+++ b/flow/server_health_test.go
@@ -537,7 +537,7 @@
 			if s := x.status(); s != health.Serving || x.failures() > 0 {
 				t.Errorf("%v, outcomes %v", s, x.g.Stats().Outcomes)
 			}
-			x.advance(DefaultIdleTimeout + 2*sweepInterval)
+			x.advance(DefaultMaxAge + 2*sweepInterval)
 			if n := x.g.health.pending; n != 0 {
 				t.Errorf("%d requests pending after all flows were removed", n)
 			}
@@ -634,7 +634,7 @@
 	x := newHealthRun(t)
 	x.failWithResets()
 	x.advance(time.Second)
-	for x.open().accepted() {
+	for x.offer(false).accepted() {
 	}
 	x.offerWith(Message{Kind: Open, Service: listing, Trial: true, Wait: time.Second, OnTime: time.Second})
 	if m := x.replies[len(x.replies)-1]; m.Kind != Refused || m.Reason != ReasonBusy {
@@ -896,7 +896,7 @@
 			case "pause":
 				x.now = x.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
 			case "idle":
-				x.now = x.now.Add(DefaultIdleTimeout)
+				x.now = x.now.Add(DefaultMaxAge)
 				x.heartbeat()
 				x.g.Tick(x.now)
 				x.collect()
--- a/flow/spill_test.go
+++ b/flow/spill_test.go
@@ -171,7 +171,7 @@
 	if offers != 1 || e == nil || !e.open.mayWait || e.agent == agentAddr(2) || e.agent == agentAddr(3) {
 		t.Fatalf("%d offers to the other service, entry %+v; want one offer, then a wait at the own service", offers, e)
 	}
-	w.gate(int(e.agent.Addr().As4()[3]) - 100).removeFlow(Key{CallerPort: 60000})
+	w.gate(int(e.agent.Addr().As4()[3])-100).removeFlow(Key{CallerPort: 60000}, RemovedClosed)
 	w.advance(40 * time.Millisecond)
 	if h := c.holders(); len(h) != 1 || h[0] > 1 || w.spilled() != 0 {
 		t.Errorf("held by %v, %d spilled; want an agent of the own service and none", h, w.spilled())
@@ -349,7 +349,7 @@
 	v.instance, v.flows = "i-new", map[Key]*serverFlow{}
 	w.heartbeat(2, 1, false)
 	for n := range 2 {
-		w.gate(n).removeFlow(Key{CallerPort: 60000})
+		w.gate(n).removeFlow(Key{CallerPort: 60000}, RemovedClosed)
 		w.refresh(n)
 	}
 	c.request(balancerA)
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -417,7 +417,7 @@
 	for n := range len(w.agents) {
 		v := w.server(n)
 		v.deferRequest = nil
-		w.gate(n).removeFlow(fillKey)
+		w.gate(n).removeFlow(fillKey, RemovedClosed)
 		for len(v.deferred) > 0 {
 			s := v.deferred[0]
 			v.deferred = v.deferred[1:]
--- a/internal/flowagent/agent.go
+++ b/internal/flowagent/agent.go
@@ -153,7 +153,7 @@
 func (a *Agent) Apply(s node.Settings) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.gate.SetLimits(s.MaxFlowAge, stateTTL(&s), s.HeartbeatInterval)
+	a.gate.SetLimits(node.Now(), s.MaxFlowAge, stateTTL(&s), s.HeartbeatInterval)
 	a.addSeeds(s.Seeds)
 }
 
--- a/internal/flowagent/trace.go
+++ b/internal/flowagent/trace.go
@@ -110,6 +110,7 @@
 	descToCaller        = prometheus.NewDesc("hemlock_packets_to_caller_total", "packets forwarded to callers", nil, nil)
 	descHeartbeats      = prometheus.NewDesc("hemlock_heartbeats_total", "heartbeats received from the server, including those that were ignored", nil, nil)
 	descOldHeartbeats   = prometheus.NewDesc("hemlock_heartbeats_old_total", "heartbeats ignored as outdated or from another server", nil, nil)
+	descRemoved         = prometheus.NewDesc("hemlock_flows_removed_total", "flows removed from the agent's flow table, by reason", []string{"reason"}, nil)
 	descDropped         = prometheus.NewDesc("hemlock_packets_dropped_total", "packets dropped because a bounded table was full or the server was not known yet", nil, nil)
 )
 
@@ -154,6 +155,9 @@
 	count(descHeartbeats, s.Heartbeats)
 	count(descOldHeartbeats, s.OldHeartbeats)
 	count(descDropped, s.Dropped)
+	for r := range flow.Removals {
+		count(descRemoved, s.Removed[r], flow.Removal(r).String())
+	}
 	gauge(descWaiting, s.Waiting.Flows, "flow")
 	gauge(descWaiting, s.Waiting.Callers, "caller")
 	gauge(descWaiting, s.Waiting.Requests, "request")
