flow: a flow whose caller is still to be notified does not expire

A server ended while callers were idle for nearly the time after which the agent removes flows. Callers were not told, and their next requests failed.

Change: a flow with a due notice stays until the notice is sent.

--- a/flow/removal.go
+++ b/flow/removal.go
@@ -111,6 +111,8 @@
 func (g *Gate) expired(now time.Time, f *gateFlow) (why Removal, expired bool) {
 	idle := now.Sub(f.lastPacketAt)
 	switch {
+	case f.noticeDue:
+		return 0, false
 	case f.closed():
 		return RemovedClosed, idle >= endedLinger
 	case f.state == gateOffered || f.state == gateProbed:
--- a/flow/removal_test.go
+++ b/flow/removal_test.go
@@ -184,6 +184,20 @@
 	}
 }
 
+// Guards against callers of idle flows that are not notified that their server has ended
+// because the flows reach their maximum age while the notices are spread.
+func TestNoticesOfOldFlowsAreSent(t *testing.T) {
+	const flows = 60
+	w := newLostWorld(t, flows)
+	w.setIdleLimit(2, 2*DefaultMaxAge)
+	w.advance(DefaultMaxAge - 1500*time.Millisecond)
+	w.start("i-new")
+	w.watchResets(2 * time.Second)
+	if len(w.resets) != flows {
+		t.Errorf("%d of %d callers were notified within 2 s", len(w.resets), flows)
+	}
+}
+
 // Guards against table entries of an ended server that keep its agent from reporting that no
 // flow is held there, so that lookups wait for it.
 func TestAbsentServerHoldsNoFlows(t *testing.T) {
