flow: a late answer to a first packet does not open the flow

A server that hung when it was offered a flow and answered 30 s later got the next packets of the flow, which was open at another server, and reset it.

Cause: its agent had removed the entry of the unanswered first packet by then, and recorded any packet of the server of an unknown flow as one of an open flow, without the server's first sequence number that tells the callers' packets apart.

Change: an answer to a first packet adds the flow as answered, with its sequence numbers, as if the entry had still been there. TestLateAnswerDoesNotOpenFlow failed before: the server that answered late received a packet of the flow, on too.

--- a/flow/gate_test.go
+++ b/flow/gate_test.go
@@ -152,6 +152,49 @@
 	}
 }
 
+// Guards against a reset of an open flow whose server holds it: another server had hung when it
+// was offered the flow and answers the first packet only after its agent has removed the entry.
+// If that answer counts as an open flow, packets of the flow are delivered to that server too,
+// and it answers them with a reset.
+func TestLateAnswerDoesNotOpenFlow(t *testing.T) {
+	const hung = 30 * time.Second
+	w := newWorld(t, 2)
+	c := w.caller(1000, listingPort)
+	for n := range 2 {
+		w.server(n).unresponsive = true
+	}
+	c.open(balancerA, 0)
+	late := 0
+	if len(w.server(1).received) > 0 {
+		late = 1
+	}
+	w.server(1 - late).unresponsive = false
+	w.now = w.now.Add(DefaultAnswerTimeout)
+	w.tick()
+	if got := c.holders(); len(got) != 1 || got[0] != 1-late {
+		t.Fatalf("held by %v, want by the server that answers", got)
+	}
+	c.request(balancerA)
+	w.advance(hung)
+	v := w.server(late)
+	v.unresponsive = false
+	for _, s := range v.receive(Segment{Key: c.key, Seq: c.seq, Syn: true}) {
+		w.gate(late).FromServer(w.now, s, w.packet(s))
+	}
+	w.deliver()
+	before := len(v.received)
+	answers := c.served()
+	first, _ := c.answer()
+	c.send(balancerB, Segment{Seq: c.seq + 51, Ack: first.Seq + 101, HasAck: true, Data: 50})
+	w.advance(time.Second)
+	if got := v.received[before:]; len(got) > 0 {
+		t.Errorf("the server that answered late received %d packets of the flow", len(got))
+	}
+	if c.served() == answers {
+		t.Error("the server that holds the flow received no request")
+	}
+}
+
 // Guards against a new flow at a draining server: a caller reuses its port while the agent
 // still has the port's old flow. If flows are distinguished by addresses and ports alone,
 // the new first packet is forwarded as a copy of the old one.
--- a/flow/held.go
+++ b/flow/held.go
@@ -139,7 +139,7 @@
 		return
 	}
 	if f == nil || f.state == gateLost {
-		f = g.addExistingFlow(now, s.Key)
+		f = g.addExistingFlow(now, &s)
 	}
 	if f != nil {
 		g.recordServerPacket(now, f, &s)
@@ -149,13 +149,19 @@
 }
 
 // addExistingFlow adds a flow that the server holds and that is not in the table. It
-// returns nil if the table is full.
-func (g *Gate) addExistingFlow(now time.Time, key Key) *gateFlow {
-	if g.flows[key] == nil && !g.makeSpace(now) {
+// returns nil if the table is full. A server that answers a first packet late holds the flow,
+// but its caller may have opened it at another server.
+func (g *Gate) addExistingFlow(now time.Time, s *Segment) *gateFlow {
+	if g.flows[s.Key] == nil && !g.makeSpace(now) {
 		g.missFlow(now)
 		return nil
 	}
-	return g.addFlow(now, key, gateOpen)
+	if !s.Syn {
+		return g.addFlow(now, s.Key, gateOpen)
+	}
+	f := g.addFlow(now, s.Key, gateOffered)
+	f.opener, f.hasOpener = s.Ack-synLength, s.HasAck
+	return f
 }
 
 // recordServerPacket updates a flow with a packet of the server, and reports Taken or Held
