node: a fetch that is cancelled ends

Cause: Fetch waited for one response of each request, and a request's goroutine gave up its response if the context ended first; with both possible it chose by chance. Fetch then waited for a response that nobody sends.

Change: each request sends its response exactly once, into a channel with space for all. Responses that are not read are closed as they arrive.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -122,19 +122,12 @@
 	requestCtx, cancelAll := context.WithCancel(ctx)
 	defer cancelAll()
 	limits := transfer.Limits{ResponseTimeout: responseTimeout << min(c.unanswered, maxTimeoutDoublings), ProgressTimeout: progressTimeout}
-	responses := make(chan valueResponse)
+	responses := make(chan valueResponse, len(processes)) // each request sends one, whether or not it is read
 	cancels := make([]context.CancelFunc, len(processes))
 	for i, p := range processes {
 		var processCtx context.Context
 		processCtx, cancels[i] = context.WithCancel(requestCtx)
-		go func() {
-			response := c.request(processCtx, p, known, limits)
-			select {
-			case responses <- response:
-			case <-processCtx.Done():
-				response.close()
-			}
-		}()
+		go func() { responses <- c.request(processCtx, p, known, limits) }()
 	}
 	return c.firstNewer(processes, cancels, responses, known)
 }
@@ -143,16 +136,17 @@
 func (c *ValueClient) firstNewer(processes []netip.AddrPort, cancels []context.CancelFunc, responses <-chan valueResponse, known store.Value) (ReceivedValue, error) {
 	noNewer := &NoNewerValueError{Requested: len(processes)}
 	responded := false
-	for range processes {
+	for i := range processes {
 		response := <-responses
 		responded = responded || response.resp != nil
 		if response.err == nil {
 			c.unanswered = 0
-			for i, p := range processes {
+			for n, p := range processes {
 				if p != response.process {
-					cancels[i]()
+					cancels[n]()
 				}
 			}
+			go closeResponses(responses, len(processes)-i-1)
 			return c.receive(response, known)
 		}
 		noNewer.Last = response.err
@@ -166,6 +160,14 @@
 	return ReceivedValue{}, noNewer
 }
 
+// closeResponses closes the next n responses. Their requests have been cancelled.
+func closeResponses(responses <-chan valueResponse, n int) {
+	for range n {
+		response := <-responses
+		response.close()
+	}
+}
+
 // request sends a request to one process and waits for the response header.
 func (c *ValueClient) request(ctx context.Context, process netip.AddrPort, known store.Value, limits transfer.Limits) valueResponse {
 	response := valueResponse{process: process, known: c.contentNumber(known)}
--- a/internal/node/value_test.go
+++ b/internal/node/value_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -253,3 +254,38 @@
 		}
 	}
 }
+
+// Guards against a process that does not stop: it is closed while it fetches a value, and the
+// fetch waits for the responses of requests that were cancelled.
+func TestCancelledFetchEnds(t *testing.T) {
+	const tries, limit = 20, 5 * time.Second
+	silent := make(chan struct{})
+	t.Cleanup(func() { close(silent) })
+	var processes []netip.AddrPort
+	for range MaxParallelRequests {
+		processes = append(processes, listen(t, nil, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			select {
+			case <-silent:
+			case <-r.Context().Done():
+			}
+		})))
+	}
+	for range tries {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() {
+			_, err := NewValueClient().Fetch(ctx, slices.Clone(processes), store.Value{})
+			ended <- err
+		}()
+		time.Sleep(5 * time.Millisecond)
+		cancel()
+		select {
+		case err := <-ended:
+			if err == nil {
+				t.Error("a cancelled fetch returned a value")
+			}
+		case <-time.After(limit):
+			t.Fatalf("the fetch still runs %v after it was cancelled", limit)
+		}
+	}
+}
