flow: a request counts as in progress until its route's timeout

A server whose slots were all taken by requests of a route with a timeout of 12 s was offered new flows after 8 s.

Cause: the agent stopped counting a request as in progress after DefaultRequestTimeout, while the operator sets a timeout for each route.

Change: the longer of the two applies. Offers already carry the route's timeout. TestLongRequestCountsUntilItsTimeout failed before: a flow was taken a second before the timeout of the requests on every slot.

--- a/flow/gate.go
+++ b/flow/gate.go
@@ -564,6 +564,11 @@
 	g.countRequest(now)
 }
 
+// requestTimeout returns how long a flow's request may count as in progress.
+func (g *Gate) requestTimeout(f *gateFlow) time.Duration {
+	return max(g.cfg.RequestTimeout, f.limits.timeout)
+}
+
 func (g *Gate) endRequest(f *gateFlow) {
 	if f.requestActive {
 		f.requestActive = false
--- a/flow/gate_config.go
+++ b/flow/gate_config.go
@@ -28,7 +28,8 @@
 	HeartbeatInterval time.Duration
 	// AnswerTimeout is how long the server may take to answer a first packet.
 	AnswerTimeout time.Duration
-	// RequestTimeout is how long a request may count as in progress.
+	// RequestTimeout is how long a request may count as in progress, unless its route has a
+	// longer timeout.
 	RequestTimeout time.Duration
 	// MaxFlows is the highest number of flows in the table.
 	MaxFlows int
@@ -54,7 +55,7 @@
 	// DefaultAnswerTimeout is a hundred times a server's usual time for it, and below the
 	// time that a balancer waits for the agent.
 	DefaultAnswerTimeout = 35 * time.Millisecond
-	// DefaultRequestTimeout is above the longest deadline of a request.
+	// DefaultRequestTimeout is for requests whose route's timeout is not known.
 	DefaultRequestTimeout = 8 * time.Second
 	// DefaultGateFlows is twice the number of connections that a server accepts.
 	DefaultGateFlows = 4096
--- a/flow/in_progress_test.go
+++ b/flow/in_progress_test.go
@@ -72,3 +72,30 @@
 		t.Error("the first trial was refused")
 	}
 }
+
+// Guards against a server that gets more requests than it has capacity for: a request of a route
+// with a timeout above DefaultRequestTimeout stops counting while the server processes it.
+func TestLongRequestCountsUntilItsTimeout(t *testing.T) {
+	const timeout = DefaultRequestTimeout + 4*time.Second
+	w := newWorld(t, 1)
+	g := w.gate(0)
+	for i := range g.requestCapacity() {
+		c := w.caller(uint16(2000+i), listingPort)
+		s := Segment{Key: c.key, Seq: c.seq, Syn: true}
+		g.FromBalancer(w.now, balancerA, &Message{Kind: Open, Service: listing, Timeout: timeout}, &s, w.packet(s))
+		w.deliver()
+		w.server(0).deferRequest = func(Segment) {}
+		a, _ := c.answer()
+		s = Segment{Key: c.key, Seq: c.seq + 1, Ack: a.Seq + 1, HasAck: true, Data: 50}
+		g.FromBalancer(w.now, balancerA, &Message{Kind: Pass}, &s, w.packet(s))
+		w.deliver()
+	}
+	w.advance(timeout - time.Second)
+	if m := w.offerTo(0, listing, 3000); m.Reason != ReasonBusy {
+		t.Errorf("offer a second before the requests' timeout: %v, %v, want busy", m.Kind, m.Reason)
+	}
+	w.advance(time.Second + 2*sweepInterval)
+	if m := w.offerTo(0, listing, 3001); m.Kind != Taken {
+		t.Errorf("offer after the requests' timeout: %v, %v, want taken", m.Kind, m.Reason)
+	}
+}
--- a/flow/removal.go
+++ b/flow/removal.go
@@ -122,12 +122,12 @@
 }
 
 // sweep removes expired flows and balancers whose subscription has expired, and ends requests
-// that have reached RequestTimeout.
+// that have reached their timeout.
 func (g *Gate) sweep(now time.Time) {
 	g.lastSweepAt = now
 	g.idleFlows = 0
 	for key, f := range g.flows {
-		if f.requestActive && now.Sub(f.requestStartedAt) >= g.cfg.RequestTimeout {
+		if f.requestActive && now.Sub(f.requestStartedAt) >= g.requestTimeout(f) {
 			g.endRequest(f)
 		}
 		if why, expired := g.expired(now, f); expired {
