node: the test of a cancelled fetch waits for its requests

It slept for 5 ms before it cancelled the fetch; it now waits until each of the silent servers has received its request, so that what it checks does not depend on the load. The check and its limit are unchanged.

--- a/internal/node/value_test.go
+++ b/internal/node/value_test.go
@@ -261,9 +261,11 @@
 	const tries, limit = 20, 5 * time.Second
 	silent := make(chan struct{})
 	t.Cleanup(func() { close(silent) })
+	arrived := make(chan struct{}, tries*MaxParallelRequests)
 	var processes []netip.AddrPort
 	for range MaxParallelRequests {
 		processes = append(processes, listen(t, nil, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			arrived <- struct{}{}
 			select {
 			case <-silent:
 			case <-r.Context().Done():
@@ -277,7 +279,13 @@
 			_, err := NewValueClient().Fetch(ctx, slices.Clone(processes), store.Value{})
 			ended <- err
 		}()
-		time.Sleep(5 * time.Millisecond)
+		for range MaxParallelRequests {
+			select {
+			case <-arrived:
+			case <-time.After(limit):
+				t.Fatalf("a request did not arrive within %v", limit)
+			}
+		}
 		cancel()
 		select {
 		case err := <-ended:
