review: case 4, late heartbeats of a crashed server reset open flows

Heartbeats of a server that has crashed are delayed and reach the agent after the next server has registered at the same address. The agent takes the crashed server for the running one, and all open flows of the running one are reset; its own heartbeats are refused from then on.

--- /dev/null
+++ b/review/stand-ins-2/late-heartbeat/main.go
@@ -0,0 +1,111 @@
+// Command late-heartbeat is a case of the review: heartbeats of a crashed server, delayed by a
+// partition, reach the agent after a new server has registered at the same address.
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hemlockscale/hemlockscale/review/stand-ins-2/rig"
+)
+
+const (
+	service = "listing"
+	// callers is the number of callers, each of which keeps one flow open.
+	callers = 24
+	// requestPause is the time between two requests on a flow.
+	requestPause = 300 * time.Millisecond
+	// crashedFor is the time between a server's crash and the start of the next one at its
+	// address; reuseDelayS is 2.
+	crashedFor = 2500 * time.Millisecond
+	// partitionedFor is the time in which the second server runs without reaching its agent.
+	partitionedFor = 2500 * time.Millisecond
+	// settled is the time after the last disruption until the late heartbeats arrive and callers'
+	// flows are watched. It exceeds stabilityMs, 4 s.
+	settled = 6 * time.Second
+	// watched is how long the flows are watched after that.
+	watched = 6 * time.Second
+)
+
+func main() { rig.Main(run) }
+
+func run(r *rig.Rig) error {
+	if err := r.Start(2, service, service, service); err != nil {
+		return err
+	}
+	vm := r.Agents[0]
+	relay, err := vm.StartControlRelay(0, rig.Trouble())
+	if err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+
+	r.Record.Printf("first server at %s crashes", vm.Name)
+	vm.Server.Crash()
+	time.Sleep(crashedFor)
+	r.Record.Printf("second server starts at %s", vm.Name)
+	if err := vm.StartServer(r.RelayAddr(0)); err != nil {
+		return err
+	}
+	time.Sleep(partitionedFor)
+	r.Record.Printf("second server at %s crashes", vm.Name)
+	vm.Server.Crash()
+	time.Sleep(crashedFor)
+	r.Record.Printf("third server starts at %s and sends its heartbeats straight to the agent", vm.Name)
+	if _, err := vm.StartControlRelay(1, false); err != nil {
+		return err
+	}
+	if err := vm.StartServer(r.RelayAddr(1)); err != nil {
+		return err
+	}
+	time.Sleep(settled - 2*time.Second)
+	stop := make(chan struct{})
+	var flows sync.WaitGroup
+	for i := range callers {
+		flows.Go(func() { useFlow(r, i, stop) })
+	}
+	time.Sleep(2 * time.Second)
+	r.Record.Printf("third server has accepted %d flows", vm.Server.AcceptedFlows())
+	if vm.Server.AcceptedFlows() == 0 {
+		return fmt.Errorf("no flow was opened at the third server")
+	}
+	relay.Release()
+	time.Sleep(watched)
+	close(stop)
+	flows.Wait()
+	vm.RecordLog("instance", "heartbeat")
+	return nil
+}
+
+// useFlow opens a flow and sends requests on it until stop is closed or the flow ends.
+func useFlow(r *rig.Rig, i int, stop <-chan struct{}) {
+	c, err := r.Caller(i)
+	if err != nil {
+		r.Record.Printf("caller %d: %v", i, err)
+		return
+	}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	f, err := c.Open(ctx, rig.ServiceAddr(service))
+	if err != nil {
+		r.Record.Printf("caller %d: flow not opened: %v", i, err)
+		return
+	}
+	defer f.Close()
+	for n := 1; ; n++ {
+		id := fmt.Sprintf("c%d-%d", i, n)
+		if err := f.Request(ctx, id, service, false, 600); err != nil {
+			r.Record.Printf("caller %d: request %s: %v", i, id, err)
+			return
+		}
+		select {
+		case <-stop:
+			r.Record.Printf("caller %d: %d requests answered on one flow", i, n)
+			return
+		case <-time.After(requestPause):
+		}
+	}
+}
