--- a/review/stand-ins-2/late-heartbeat/main.go
+++ b/review/stand-ins-2/late-heartbeat/main.go
@@ -19,12 +19,13 @@
 	requestPause = 300 * time.Millisecond
 	// crashedFor is the time between a server's crash and the start of the next one at its
 	// address; reuseDelayS is 2.
-	crashedFor = 2500 * time.Millisecond
+	crashedFor = 2100 * time.Millisecond
 	// partitionedFor is the time in which the second server runs without reaching its agent.
-	partitionedFor = 2500 * time.Millisecond
-	// settled is the time after the last disruption until the late heartbeats arrive and callers'
-	// flows are watched. It exceeds stabilityMs, 4 s.
-	settled = 6 * time.Second
+	partitionedFor = 1600 * time.Millisecond
+	// settled is the time from the third server's start until the late heartbeats arrive. It
+	// exceeds stabilityMs, 4 s. Flows are opened in the last flowsBefore of it.
+	settled     = 5 * time.Second
+	flowsBefore = 2 * time.Second
 	// watched is how long the flows are watched after that.
 	watched = 6 * time.Second
 )
@@ -51,6 +52,7 @@
 	}
 	time.Sleep(partitionedFor)
 	r.Record.Printf("second server at %s crashes", vm.Name)
+	relay.SenderCrashed()
 	vm.Server.Crash()
 	time.Sleep(crashedFor)
 	r.Record.Printf("third server starts at %s and sends its heartbeats straight to the agent", vm.Name)
@@ -60,13 +62,13 @@
 	if err := vm.StartServer(r.RelayAddr(1)); err != nil {
 		return err
 	}
-	time.Sleep(settled - 2*time.Second)
+	time.Sleep(settled - flowsBefore)
 	stop := make(chan struct{})
 	var flows sync.WaitGroup
 	for i := range callers {
 		flows.Go(func() { useFlow(r, i, stop) })
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(flowsBefore)
 	r.Record.Printf("third server has accepted %d flows", vm.Server.AcceptedFlows())
 	if vm.Server.AcceptedFlows() == 0 {
 		return fmt.Errorf("no flow was opened at the third server")
--- a/review/stand-ins-2/rig/relay.go
+++ b/review/stand-ins-2/rig/relay.go
@@ -23,6 +23,7 @@
 	mu      sync.Mutex
 	holding bool
 	held    []controlCall
+	ended   chan struct{} // closed when the sender has crashed
 }
 
 type controlCall struct {
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &ControlRelay{rig: v.rig, control: v.At(ControlPort), holding: holding}
+	r := &ControlRelay{rig: v.rig, control: v.At(ControlPort), holding: holding, ended: make(chan struct{})}
 	r.http = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go r.http.Serve(ln)
 	return r, nil
@@ -61,18 +62,49 @@
 	c := controlCall{path: req.URL.Path, body: body}
 	r.mu.Lock()
 	holding := r.holding
+	select {
+	case <-r.ended:
+		r.mu.Unlock()
+		return
+	default:
+	}
 	if holding {
 		r.held = append(r.held, c)
 	}
 	r.mu.Unlock()
 	if holding {
 		r.rig.Record.Printf("delayed on the way: %v", c)
-		<-req.Context().Done()
+		select {
+		case <-req.Context().Done():
+		case <-r.ended:
+		}
 		return
 	}
 	w.WriteHeader(r.deliver("delivered", c))
 }
 
+// Hold holds back the calls that arrive from now on.
+func (r *ControlRelay) Hold() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holding = true
+}
+
+// SenderCrashed drops the calls that arrive from now on: a crashed server sends nothing. What is
+// held back is still on its way.
+func (r *ControlRelay) SenderCrashed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.ended)
+}
+
+// Held returns the number of calls held back.
+func (r *ControlRelay) Held() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.held)
+}
+
 // deliver passes a call on and returns the status of the agent's answer.
 func (r *ControlRelay) deliver(how string, c controlCall) int {
 	resp, err := http.Post(fmt.Sprintf("http://%v%s", r.control, c.path), "application/json", bytes.NewReader(c.body))
