--- a/review/stand-ins-2/late-heartbeat/main.go
+++ b/review/stand-ins-2/late-heartbeat/main.go
@@ -3,9 +3,7 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/hemlockscale/hemlockscale/review/stand-ins-2/rig"
@@ -63,11 +61,7 @@
 		return err
 	}
 	time.Sleep(settled - flowsBefore)
-	stop := make(chan struct{})
-	var flows sync.WaitGroup
-	for i := range callers {
-		flows.Go(func() { useFlow(r, i, stop) })
-	}
+	flows := r.OpenFlows(service, callers, requestPause)
 	time.Sleep(flowsBefore)
 	r.Record.Printf("third server has accepted %d flows", vm.Server.AcceptedFlows())
 	if vm.Server.AcceptedFlows() == 0 {
@@ -75,39 +69,7 @@
 	}
 	relay.Release()
 	time.Sleep(watched)
-	close(stop)
-	flows.Wait()
+	flows.Stop()
 	vm.RecordLog("instance", "heartbeat")
 	return nil
 }
-
-// useFlow opens a flow and sends requests on it until stop is closed or the flow ends.
-func useFlow(r *rig.Rig, i int, stop <-chan struct{}) {
-	c, err := r.Caller(i)
-	if err != nil {
-		r.Record.Printf("caller %d: %v", i, err)
-		return
-	}
-	defer c.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	f, err := c.Open(ctx, rig.ServiceAddr(service))
-	if err != nil {
-		r.Record.Printf("caller %d: flow not opened: %v", i, err)
-		return
-	}
-	defer f.Close()
-	for n := 1; ; n++ {
-		id := fmt.Sprintf("c%d-%d", i, n)
-		if err := f.Request(ctx, id, service, false, 600); err != nil {
-			r.Record.Printf("caller %d: request %s: %v", i, id, err)
-			return
-		}
-		select {
-		case <-stop:
-			r.Record.Printf("caller %d: %d requests answered on one flow", i, n)
-			return
-		case <-time.After(requestPause):
-		}
-	}
-}
