review: cases 7 and 8, a returning port after a crash, and a moved store

Case 7: a server crashes and its callers' flows are reset. 30 s later the callers open flows from the same ports at other servers, and the balancers are stopped and started in turn.

--- a/review/stand-ins-2/rig/rig.go
+++ b/review/stand-ins-2/rig/rig.go
@@ -132,6 +132,8 @@
 	Router    *platform.Router
 	Balancers []*VM
 	Agents    []*VM
+	// MoreRoutes holds the services of further routes by their hosts.
+	MoreRoutes map[string]string
 
 	net     *loopback.Network
 	dir     string
@@ -241,21 +243,32 @@
 
 func host(service string) string { return fmt.Sprintf("198.18.0.%d", service[0]) }
 
+// HostAddr returns the address of a route with a host of its own.
+func HostAddr(host string) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr(host), servicePort)
+}
+
 // Configure writes the operator's configuration, with a route for each service, under the next
 // version.
 func (r *Rig) Configure() {
 	r.version += 3
 	type object map[string]any
 	routes, services, seen := []object{}, []object{}, map[string]bool{}
+	addRoute := func(host, service string) {
+		routes = append(routes, object{
+			"name": "r-" + host, "host": host, "prefix": fmt.Sprintf("/%d/", servicePort), "service": service,
+			"type": "idempotent", "timeoutMs": 3000, "targetLatencyMs": 500, "priority": 2,
+		})
+	}
+	for host, service := range r.MoreRoutes {
+		addRoute(host, service)
+	}
 	for _, v := range r.Agents {
 		if seen[v.Service] {
 			continue
 		}
 		seen[v.Service] = true
-		routes = append(routes, object{
-			"name": "r-" + v.Service, "host": host(v.Service), "prefix": fmt.Sprintf("/%d/", servicePort), "service": v.Service,
-			"type": "idempotent", "timeoutMs": 3000, "targetLatencyMs": 500, "priority": 2,
-		})
+		addRoute(host(v.Service), v.Service)
 		services = append(services, object{"name": v.Service, "healthPath": "/health"})
 	}
 	data, err := json.Marshal(object{"version": r.version, "routes": routes, "services": services, "limits": object{"idleTimeoutMs": 15000}})
@@ -289,11 +302,17 @@
 	return err
 }
 
+// WriteSettings writes the VM's settings file.
+func (v *VM) WriteSettings() (file string, err error) {
+	file = filepath.Join(v.rig.dir, v.Name+".toml")
+	return file, os.WriteFile(file, []byte(v.settings()), 0o600)
+}
+
 // StartProcess starts the VM's process with the command of the deploy file; only the address of
 // the admin pages differs, because all VMs share one machine.
 func (v *VM) StartProcess() error {
-	file := filepath.Join(v.rig.dir, v.Name+".toml")
-	if err := os.WriteFile(file, []byte(v.settings()), 0o600); err != nil {
+	file, err := v.WriteSettings()
+	if err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(v.rig.dir, v.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
