review: case 4, a woken balancer's old first packets hide open flows from their agents

A balancer freezes with callers' first packets in its socket; the flows open through another balancer, and the agents restart. When the balancer wakes, it offers the old first packets. An agent that gets one for a flow which its server already holds then answers that its server does not hold that flow, and a balancer resets it.

--- a/review/stand-ins-2/rig/rig.go
+++ b/review/stand-ins-2/rig/rig.go
@@ -284,6 +284,12 @@
 	return platform.NewCaller(netip.AddrPortFrom(r.net.Addr(callerNet, i), PacketPort), r.Router, r.Journal)
 }
 
+// CallerAddr returns the i-th address for callers.
+func (r *Rig) CallerAddr(i int) netip.Addr { return r.net.Addr(callerNet, i) }
+
+// FirstCallerPort is the port of a new caller's first flow.
+const FirstCallerPort = 20001
+
 // RelayAddr returns the address of the i-th relay in front of a control address.
 func (r *Rig) RelayAddr(i int) netip.AddrPort {
 	return netip.AddrPortFrom(r.net.Addr(relayNet, i), ControlPort)
