--- a/review/stand-ins-2/late-heartbeat-drain/main.go
+++ b/review/stand-ins-2/late-heartbeat-drain/main.go
@@ -24,9 +24,9 @@
 	thirdRan  = time.Second
 	// delayed is the number of heartbeats of the first server that are delayed.
 	delayed = 2
-	// drainMs and stabilityMs are bounds of the settings.
-	drainMs     = 3 * time.Second
-	stabilityMs = 4 * time.Second
+	// drainBound is drainMs of the settings, stability is stabilityMs.
+	drainBound = 3 * time.Second
+	stability  = 4 * time.Second
 	// served is how long the draining server goes on serving after the late heartbeats.
 	served = 4 * time.Second
 	// callPause is the time between two calls, each with a flow of its own.
@@ -77,7 +77,7 @@
 		return fmt.Errorf("draining was not acknowledged")
 	}
 	r.Record.Printf("draining of the third server acknowledged")
-	time.Sleep(stabilityMs)
+	time.Sleep(stability)
 	before := vm.Server.AcceptedFlows()
 	r.Record.Printf("the third server has accepted %d flows so far", before)
 	first.Release()
@@ -85,7 +85,7 @@
 	late := vm.Server.AcceptedFlows() - before
 	r.Record.Printf("flows accepted in the last %v, from %v after the acknowledgement on: %d", served, time.Since(acknowledged.Add(served)).Round(time.Millisecond), late)
 	if late > 0 {
-		r.Journal.RecordViolation("%d requests reached a backend more than %v after the acknowledgement that it is draining (drainMs is %v)", late, stabilityMs, drainMs)
+		r.Journal.RecordViolation("%d requests reached a backend more than %v after the acknowledgement that it is draining (drainMs is %v)", late, stability, drainBound)
 	}
 	stop()
 	vm.RecordLog("instance", "heartbeat", "state")
