review: five cases in order of weight, with their claims

Case 4 stays. Late heartbeats are one case now (5, DRAIN); the one that reset open flows (FLOW) is taken out, because review/2 shows the same effect of the same function.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 go build -buildvcs=false -o target/review-2/ ./review/stand-ins-2/frozen-balancer ./review/stand-ins-2/late-heartbeat \
-	./review/stand-ins-2/late-heartbeat-drain ./review/stand-ins-2/foreign-heartbeat ./review/stand-ins-2/reused-port
+	./review/stand-ins-2/foreign-heartbeat ./review/stand-ins-2/reused-port ./review/stand-ins-2/moved-store
--- a/review/stand-ins-2/late-heartbeat/main.go
+++ b/review/stand-ins-2/late-heartbeat/main.go
@@ -1,75 +1,139 @@
-// Command late-heartbeat is a case of the review: heartbeats of a crashed server, delayed by a
-// partition, reach the agent after a new server has registered at the same address.
+// Command late-heartbeat is a case of the review: two heartbeats of a crashed server, delayed
+// by a partition, reach the agent while the server that runs there now is draining.
 package main
 
 import (
+	"context"
 	"fmt"
 	"time"
 
+	"github.com/hemlockscale/hemlockscale/internal/standin/platform"
 	"github.com/hemlockscale/hemlockscale/review/stand-ins-2/rig"
 )
 
 const (
 	service = "listing"
-	// callers is the number of callers, each of which keeps one flow open.
-	callers = 24
-	// requestPause is the time between two requests on a flow.
-	requestPause = 300 * time.Millisecond
 	// crashedFor is the time between a server's crash and the start of the next one at its
 	// address; reuseDelayS is 2.
 	crashedFor = 2100 * time.Millisecond
-	// partitionedFor is the time in which the second server runs without reaching its agent.
-	partitionedFor = 1600 * time.Millisecond
-	// settled is the time from the third server's start until the late heartbeats arrive. It
-	// exceeds stabilityMs, 4 s. Flows are opened in the last flowsBefore of it.
-	settled     = 5 * time.Second
-	flowsBefore = 2 * time.Second
-	// watched is how long the flows are watched after that.
-	watched = 6 * time.Second
+	// firstRan is how long the first server runs before its heartbeats are delayed, secondRan how
+	// long the second one runs before it crashes, and thirdRan how long the third one runs before
+	// it drains.
+	firstRan  = 3 * time.Second
+	secondRan = time.Second
+	thirdRan  = time.Second
+	// delayed is the number of heartbeats of the first server that are delayed.
+	delayed = 2
+	// drainBound is drainMs of the settings, stability is stabilityMs.
+	drainBound = 3 * time.Second
+	stability  = 4 * time.Second
+	// served is how long the draining server goes on serving after the late heartbeats.
+	served = 4 * time.Second
+	// callPause is the time between two calls, each with a flow of its own.
+	callPause = 15 * time.Millisecond
 )
 
 func main() { rig.Main(run) }
 
 func run(r *rig.Rig) error {
-	if err := r.Start(2, service, service, service); err != nil {
+	if err := r.Start(2, service, service, "-"+service); err != nil {
 		return err
 	}
-	vm := r.Agents[0]
-	relay, err := vm.StartControlRelay(0, rig.Trouble())
+	vm := r.Agents[2]
+	first, err := vm.StartControlRelay(0, false)
 	if err != nil {
 		return err
 	}
-	time.Sleep(3 * time.Second)
-
-	r.Record.Printf("first server at %s crashes", vm.Name)
-	vm.Server.Crash()
-	time.Sleep(crashedFor)
-	r.Record.Printf("second server starts at %s", vm.Name)
+	if _, err := vm.StartControlRelay(1, false); err != nil {
+		return err
+	}
 	if err := vm.StartServer(r.RelayAddr(0)); err != nil {
 		return err
 	}
-	time.Sleep(partitionedFor)
-	r.Record.Printf("second server at %s crashes", vm.Name)
-	relay.SenderCrashed()
-	vm.Server.Crash()
-	time.Sleep(crashedFor)
-	r.Record.Printf("third server starts at %s and sends its heartbeats straight to the agent", vm.Name)
-	if _, err := vm.StartControlRelay(1, false); err != nil {
+	r.Record.Printf("first server started at %s", vm.Name)
+	time.Sleep(firstRan)
+	if rig.Trouble() {
+		first.Hold()
+		if err := rig.Await(5*time.Second, "two heartbeats delayed", func() bool { return first.Held() == delayed }); err != nil {
+			return err
+		}
+	}
+	first.SenderCrashed()
+	if err := replaceServer(r, vm, "second"); err != nil {
 		return err
 	}
-	if err := vm.StartServer(r.RelayAddr(1)); err != nil {
+	time.Sleep(secondRan)
+	if err := replaceServer(r, vm, "third"); err != nil {
 		return err
 	}
-	time.Sleep(settled - flowsBefore)
-	flows := r.OpenFlows(service, callers, requestPause)
-	time.Sleep(flowsBefore)
-	r.Record.Printf("third server has accepted %d flows", vm.Server.AcceptedFlows())
+	stop := startCalls(r)
+	time.Sleep(thirdRan)
 	if vm.Server.AcceptedFlows() == 0 {
 		return fmt.Errorf("no flow was opened at the third server")
 	}
-	relay.Release()
-	time.Sleep(watched)
-	flows.Stop()
-	vm.RecordLog("instance", "heartbeat")
+	vm.Server.Drain()
+	acknowledged := time.Now()
+	if !vm.Server.Drained() {
+		return fmt.Errorf("draining was not acknowledged")
+	}
+	r.Record.Printf("draining of the third server acknowledged")
+	time.Sleep(stability)
+	before := vm.Server.AcceptedFlows()
+	r.Record.Printf("the third server has accepted %d flows so far", before)
+	first.Release()
+	time.Sleep(served)
+	late := vm.Server.AcceptedFlows() - before
+	r.Record.Printf("flows accepted in the last %v, from %v after the acknowledgement on: %d", served, time.Since(acknowledged.Add(served)).Round(time.Millisecond), late)
+	if late > 0 {
+		r.Journal.RecordViolation("%d requests reached a backend more than %v after the acknowledgement that it is draining (drainMs is %v)", late, stability, drainBound)
+	}
+	stop()
+	vm.RecordLog("instance", "heartbeat", "state")
 	return nil
 }
+
+// replaceServer crashes the server beside an agent and starts the next one there.
+func replaceServer(r *rig.Rig, vm *rig.VM, which string) error {
+	r.Record.Printf("server at %s crashes", vm.Name)
+	vm.Server.Crash()
+	time.Sleep(crashedFor)
+	r.Record.Printf("%s server starts at %s", which, vm.Name)
+	return vm.StartServer(r.RelayAddr(1))
+}
+
+// startCalls has a caller make calls until the returned function is called.
+func startCalls(r *rig.Rig) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c, err := r.Caller(0)
+		if err != nil {
+			r.Record.Printf("caller: %v", err)
+			return
+		}
+		defer c.Close()
+		answered := 0
+		for n := 0; ctx.Err() == nil; n++ {
+			if call(ctx, c, fmt.Sprintf("q%d", n)) == nil {
+				answered++
+			}
+			time.Sleep(callPause)
+		}
+		r.Record.Printf("caller: %d calls answered", answered)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// call opens a flow, sends one request and closes the flow.
+func call(ctx context.Context, c *platform.Caller, id string) error {
+	f, err := c.Open(ctx, rig.ServiceAddr(service))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Request(ctx, id, service, false, 600)
+}
