review: loopback addresses only, and shares inside the quoted limits

The routes' hosts in the stand-ins were addresses of 198.18.0.0/24 and are loopback addresses now; they stand in packets' headers only.

--- a/review/stand-ins-2/foreign-heartbeat/main.go
+++ b/review/stand-ins-2/foreign-heartbeat/main.go
@@ -16,7 +16,7 @@
 const (
 	service = "listing"
 	// callers is the number of callers, each of which keeps one flow open.
-	callers = 24
+	callers = 64
 	// requestPause is the time between two requests on a flow. It is below idleTimeoutMs, 15 s, and
 	// the second request is sent more than stabilityMs after the restart.
 	requestPause = 10 * time.Second
@@ -31,7 +31,7 @@
 func main() { rig.Main(run) }
 
 func run(r *rig.Rig) error {
-	if err := r.Start(2, service, service, service); err != nil {
+	if err := r.Start(2, service, service, service, service, service, service, service, service); err != nil {
 		return err
 	}
 	vm := r.Agents[0]
--- a/review/stand-ins-2/frozen-balancer/main.go
+++ b/review/stand-ins-2/frozen-balancer/main.go
@@ -1,5 +1,5 @@
 // Command frozen-balancer is a case of the review: a balancer is frozen while callers open flows,
-// the agents are stopped and started in turn, and the balancer wakes with the callers' first
+// some agents are killed and start again, and the balancer wakes with the callers' first
 // packets still in its socket.
 package main
 
@@ -18,21 +18,22 @@
 
 const (
 	service = "listing"
-	agents  = 3
-	callers = 40
+	agents  = 8
+	callers = 120
 	// frozenFor is for_s of the site's node_freeze.
 	frozenFor = 3500 * time.Millisecond
 	// opensAfter is the time from the freeze until the callers open their flows. Routers notice
 	// after two readiness checks that a balancer does not answer.
-	opensAfter = 600 * time.Millisecond
-	// rollsAfter is the time from the freeze until the agents are stopped in turn.
-	rollsAfter   = 1700 * time.Millisecond
+	opensAfter   = 600 * time.Millisecond
 	restartDelay = 300 * time.Millisecond
 	// settled is the time from the end of the freeze until the callers send their next requests. It
 	// exceeds stabilityMs, 4 s.
 	settled = 6 * time.Second
 )
 
+// killsAfter are the times from the freeze until one agent of eight is killed, as in the day's rounds.
+var killsAfter = [...]time.Duration{1400 * time.Millisecond, 2100 * time.Millisecond, 2700 * time.Millisecond}
+
 func main() { rig.Main(run) }
 
 func run(r *rig.Rig) error {
@@ -61,9 +62,10 @@
 	for i := range callers {
 		c.done.Go(func() { c.use(i) })
 	}
-	time.Sleep(time.Until(frozen.Add(rollsAfter)))
-	for _, v := range r.Agents {
-		if err := restart(v); err != nil {
+	killed := map[int]bool{}
+	for _, after := range killsAfter {
+		time.Sleep(time.Until(frozen.Add(after)))
+		if err := c.killBusiest(killed); err != nil {
 			return err
 		}
 	}
@@ -85,12 +87,19 @@
 	return nil
 }
 
-// restart stops an agent with SIGTERM and starts it again.
-func restart(v *rig.VM) error {
-	v.Signal(syscall.SIGTERM)
-	if err := v.WaitExit(6 * time.Second); err != nil {
-		return err
+// killBusiest kills the agent beside the server with the most open flows, of those that were not
+// killed yet, and starts it again.
+func (c *callersOf) killBusiest(killed map[int]bool) error {
+	busiest := -1
+	for n, s := range c.servers {
+		if !killed[n] && (busiest < 0 || s.OpenFlows() > c.servers[busiest].OpenFlows()) {
+			busiest = n
+		}
 	}
+	killed[busiest] = true
+	v := c.rig.Agents[busiest]
+	c.rig.Record.Printf("%s: killed, its server holds %d open flows", v.Name, c.servers[busiest].OpenFlows())
+	v.Kill()
 	time.Sleep(restartDelay)
 	return v.StartProcess()
 }
--- a/review/stand-ins-2/late-heartbeat/main.go
+++ b/review/stand-ins-2/late-heartbeat/main.go
@@ -31,15 +31,17 @@
 	served = 4 * time.Second
 	// callPause is the time between two calls, each with a flow of its own.
 	callPause = 15 * time.Millisecond
+	// callers is the number of callers that make calls at the same time.
+	callers = 4
 )
 
 func main() { rig.Main(run) }
 
 func run(r *rig.Rig) error {
-	if err := r.Start(2, service, service, "-"+service); err != nil {
+	if err := r.Start(2, service, service, service, service, service, service, service, "-"+service); err != nil {
 		return err
 	}
-	vm := r.Agents[2]
+	vm := r.Agents[7]
 	first, err := vm.StartControlRelay(0, false)
 	if err != nil {
 		return err
@@ -66,7 +68,10 @@
 	if err := replaceServer(r, vm, "third"); err != nil {
 		return err
 	}
-	stop := startCalls(r)
+	var stops []func()
+	for i := range callers {
+		stops = append(stops, startCalls(r, i))
+	}
 	time.Sleep(thirdRan)
 	if vm.Server.AcceptedFlows() == 0 {
 		return fmt.Errorf("no flow was opened at the third server")
@@ -87,7 +92,9 @@
 	if late > 0 {
 		r.Journal.RecordViolation("%d requests reached a backend more than %v after the acknowledgement that it is draining (drainMs is %v)", late, stability, drainBound)
 	}
-	stop()
+	for _, stop := range stops {
+		stop()
+	}
 	vm.RecordLog("instance", "heartbeat", "state")
 	return nil
 }
@@ -101,26 +108,26 @@
 	return vm.StartServer(r.RelayAddr(1))
 }
 
-// startCalls has a caller make calls until the returned function is called.
-func startCalls(r *rig.Rig) (stop func()) {
+// startCalls has the i-th caller make calls until the returned function is called.
+func startCalls(r *rig.Rig, i int) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		c, err := r.Caller(0)
+		c, err := r.Caller(i)
 		if err != nil {
-			r.Record.Printf("caller: %v", err)
+			r.Record.Printf("caller %d: %v", i, err)
 			return
 		}
 		defer c.Close()
 		answered := 0
 		for n := 0; ctx.Err() == nil; n++ {
-			if call(ctx, c, fmt.Sprintf("q%d", n)) == nil {
+			if call(ctx, c, fmt.Sprintf("q%d-%d", i, n)) == nil {
 				answered++
 			}
 			time.Sleep(callPause)
 		}
-		r.Record.Printf("caller: %d calls answered", answered)
+		r.Record.Printf("caller %d: %d calls answered", i, answered)
 	}()
 	return func() {
 		cancel()
--- a/review/stand-ins-2/moved-store/main.go
+++ b/review/stand-ins-2/moved-store/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/hemlockscale/hemlockscale/internal/standin/platform"
@@ -14,7 +13,7 @@
 
 const (
 	service = "listing"
-	newHost = "198.18.0.200"
+	newHost = "127.250.1.1"
 	// stability is stabilityMs of the settings, applyBound is configApplyMs.
 	stability  = 4 * time.Second
 	applyBound = 3 * time.Second
@@ -63,8 +62,8 @@
 	return nil
 }
 
-// moveStore gives the store another address: the settings files name it, the processes get SIGHUP,
-// and three seconds later the former address answers every call with 503.
+// moveStore gives the store another address: the settings files name it, without a signal, and
+// eight seconds later the former address answers every call with 503.
 func moveStore(r *rig.Rig) error {
 	var former []*platform.Endpoint
 	for _, v := range append(r.Balancers[:len(r.Balancers):len(r.Balancers)], r.Agents...) {
@@ -74,9 +73,8 @@
 			return err
 		}
 		r.Record.Printf("%s: settings file names the store at %v", v.Name, v.Store.Addr())
-		v.Signal(syscall.SIGHUP)
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(8 * time.Second)
 	r.Record.Printf("the store's former addresses answer with 503")
 	for _, e := range former {
 		e.SetFault(platform.Fault{RefuseStatus: http.StatusServiceUnavailable})
--- a/review/stand-ins-2/reused-port/main.go
+++ b/review/stand-ins-2/reused-port/main.go
@@ -19,7 +19,7 @@
 	service = "listing"
 	// callers is the number of callers. Each keeps a flow open, ends it, and opens another one from
 	// the same port after reopenAfter.
-	callers      = 30
+	callers      = 64
 	requestPause = 500 * time.Millisecond
 	reopenAfter  = 30 * time.Second
 	// downFor is how long the crashed server is down.
@@ -35,7 +35,7 @@
 func main() { rig.Main(run) }
 
 func run(r *rig.Rig) error {
-	if err := r.Start(2, service, service, service, service); err != nil {
+	if err := r.Start(2, service, service, service, service, service, service, service, service); err != nil {
 		return err
 	}
 	vm := r.Agents[0]
--- a/review/stand-ins-2/rig/rig.go
+++ b/review/stand-ins-2/rig/rig.go
@@ -241,7 +241,9 @@
 	return netip.AddrPortFrom(netip.MustParseAddr(host(service)), servicePort)
 }
 
-func host(service string) string { return fmt.Sprintf("198.18.0.%d", service[0]) }
+// host returns the address of a service's route: a loopback address outside the networks that
+// package loopback reserves. Only packets' headers hold it; no socket uses it.
+func host(service string) string { return fmt.Sprintf("127.250.0.%d", service[0]) }
 
 // HostAddr returns the address of a route with a host of its own.
 func HostAddr(host string) netip.AddrPort {
--- a/review/stand-ins-2/rig/server.go
+++ b/review/stand-ins-2/rig/server.go
@@ -70,6 +70,19 @@
 	s.done.Wait()
 }
 
+// OpenFlows returns the number of open flows that the server holds.
+func (s *Server) OpenFlows() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, f := range s.flows {
+		if f.open {
+			n++
+		}
+	}
+	return n
+}
+
 // Holds reports whether the server holds a flow of the caller that is open.
 func (s *Server) Holds(caller netip.AddrPort) bool {
 	s.mu.Lock()
