agent: log lines of flows that are not held say from which evidence

A caller whose flow was reset although its server holds it can be traced to the agent that denied the flow, but not to the reason: no entry in a table that counts as complete, an entry of another flow from the same port, a server that has ended, or a packet that the server sent back gave the same line, and answers to lookups gave none.

The line "flow not held" has the field "basis" (no_entry, other_flow, server_ended, bounced), and is also written for lookups, but for no_entry, which every agent answers for each flow that has ended.

--- a/flow/held.go
+++ b/flow/held.go
@@ -10,7 +10,7 @@
 	f := g.flows[s.Key]
 	switch {
 	case f == nil && g.complete(now):
-		g.replyNotHeld(now, from, kind, s, ReasonNotHeld, packet)
+		g.replyNotHeld(now, from, kind, s, ReasonNotHeld, BasisNoEntry, packet)
 	case f == nil && !g.server.responded:
 		// Whether a server runs is not known yet. Without one, the operating system may
 		// answer the packet with a reset, which ends the flow that another server holds.
@@ -19,12 +19,12 @@
 		g.probe(now, from, s, packet)
 	case f.state == gateLost:
 		f.noticeDue = false
-		g.replyNotHeld(now, from, kind, s, ReasonLost, packet)
+		g.replyNotHeld(now, from, kind, s, ReasonLost, BasisEnded, packet)
 	case !f.matches(s):
 		// Two servers received the first packet, and the caller accepted the other one's
 		// answer. The flow's entry stays, not open: this server would answer packets of
 		// the flow with a reset.
-		g.replyNotHeld(now, from, kind, s, ReasonNotHeld, packet)
+		g.replyNotHeld(now, from, kind, s, ReasonNotHeld, BasisOtherFlow, packet)
 	default:
 		g.deliver(now, from, kind, f, s, packet)
 	}
@@ -115,14 +115,14 @@
 // replyNotHeld replies to a balancer that the server does not hold the flow. A packet
 // received with a Pass message is returned with the reply, so that the balancer can look
 // up or reset the flow at once.
-func (g *Gate) replyNotHeld(now time.Time, to netip.AddrPort, kind MessageKind, s *Segment, reason Reason, packet []byte) {
+func (g *Gate) replyNotHeld(now time.Time, to netip.AddrPort, kind MessageKind, s *Segment, reason Reason, basis Basis, packet []byte) {
 	if reason == ReasonLost {
 		g.stats.Lost++
 	} else {
 		g.stats.NotHeld++
 	}
-	if kind == Pass || reason == ReasonLost {
-		g.trace.NotHeld(now, s.Key, reason)
+	if kind == Pass || reason == ReasonLost || basis != BasisNoEntry {
+		g.trace.NotHeld(now, s.Key, reason, basis)
 	}
 	if kind != Pass {
 		packet = nil
@@ -298,13 +298,13 @@
 	case s.first():
 	case f.state == gateProbed:
 		g.removeFlow(s.Key, RemovedBounced)
-		g.replyNotHeld(now, via, Lookup, s, ReasonNotHeld, packet)
+		g.replyNotHeld(now, via, Lookup, s, ReasonNotHeld, BasisBounced, packet)
 	case f.state == gateOpen && !f.closed():
 		g.endRequest(f)
 		g.forgetRequest(f)
 		g.forgetKept(s.Key, f)
 		f.state = gateLost
-		g.replyNotHeld(now, via, Pass, s, ReasonLost, packet)
+		g.replyNotHeld(now, via, Pass, s, ReasonLost, BasisBounced, packet)
 	}
 }
 
--- a/flow/lookup_result.go
+++ b/flow/lookup_result.go
@@ -21,6 +21,28 @@
 	lastLookupResult = FlowUnknown
 )
 
+// Basis is the evidence from which an agent answers that its server does not hold a flow.
+type Basis uint8
+
+// The evidence.
+const (
+	BasisNoEntry   Basis = iota // the table is complete and has no entry of the flow's addresses and ports
+	BasisOtherFlow              // the entry is of another flow with the same addresses and ports
+	BasisEnded                  // the entry's server has ended
+	BasisBounced                // the server sent a packet of the flow back
+)
+
+// bases are the names that Basis.String returns, as in logs.
+var bases = [...]string{"no_entry", "other_flow", "server_ended", "bounced"}
+
+// String returns the name of the evidence.
+func (b Basis) String() string {
+	if int(b) < len(bases) {
+		return bases[b]
+	}
+	return "invalid"
+}
+
 // resultFor returns the result for a flow in an answer.
 func resultFor(key Key, answer []byte) LookupResult {
 	for ; len(answer) >= resultSize; answer = answer[resultSize:] {
@@ -61,11 +83,13 @@
 	case f.state == gateLost:
 		f.noticeDue = false
 		g.stats.Lost++
+		g.trace.NotHeld(now, s.Key, ReasonLost, BasisEnded)
 		return FlowLost
 	case f.state == gateProbed:
 		return FlowNeedsPacket
 	case !f.matches(s):
 		g.stats.NotHeld++
+		g.trace.NotHeld(now, s.Key, ReasonNotHeld, BasisOtherFlow)
 		return FlowNotHeld
 	}
 	return FlowHeld
--- a/flow/trace.go
+++ b/flow/trace.go
@@ -61,8 +61,9 @@
 	Answered(now time.Time, id ID, after time.Duration, requests int)
 	// Opened: the caller confirmed the flow, which the balancer at via offered.
 	Opened(now time.Time, id ID, via netip.AddrPort, after time.Duration)
-	// NotHeld: a packet arrived for a flow that the server does not hold.
-	NotHeld(now time.Time, key Key, reason Reason)
+	// NotHeld: a packet arrived for a flow that the server does not hold, and which evidence
+	// shows that.
+	NotHeld(now time.Time, key Key, reason Reason, basis Basis)
 	// State: the known state of the server has changed.
 	State(now time.Time, before, after ServerState, why string)
 	// Instance: the server was restarted. complete says whether every flow of the
@@ -79,7 +80,7 @@
 func (noGateTracer) Refused(time.Time, Key, Reason, ServerState, int)    {}
 func (noGateTracer) Answered(time.Time, ID, time.Duration, int)          {}
 func (noGateTracer) Opened(time.Time, ID, netip.AddrPort, time.Duration) {}
-func (noGateTracer) NotHeld(time.Time, Key, Reason)                      {}
+func (noGateTracer) NotHeld(time.Time, Key, Reason, Basis)               {}
 func (noGateTracer) State(time.Time, ServerState, ServerState, string)   {}
 func (noGateTracer) Instance(time.Time, string, uint64, bool)            {}
 func (noGateTracer) OldHeartbeat(time.Time, string, uint64)              {}
--- a/internal/flowagent/trace.go
+++ b/internal/flowagent/trace.go
@@ -46,8 +46,8 @@
 }
 
 // NotHeld implements flow.GateTracer.
-func (t *tracer) NotHeld(_ time.Time, key flow.Key, reason flow.Reason) {
-	t.log.Info("flow not held", node.FlowField(key), zap.Stringer("reason", reason))
+func (t *tracer) NotHeld(_ time.Time, key flow.Key, reason flow.Reason, basis flow.Basis) {
+	t.log.Info("flow not held", node.FlowField(key), zap.Stringer("reason", reason), zap.Stringer("basis", basis))
 }
 
 // State implements flow.GateTracer.
