agent: what it has not seen of a flow does not show that its server does not hold it

Callers saw: a flow that had been idle for some seconds is reset with its next packet, although its server lives and holds it.

Cause: an agent finds a flow's entry by addresses and ports. After its restart an agent got, from a balancer that had been stopped, the first packet of a flow that its server held already. It took the server's repeated answer for the start of a new flow: as if the server had sent one packet. The caller's next packet acknowledges all that the server had sent before the restart, and was taken for one of another flow. The entry also hid that the table is incomplete, for which the agent would have sent the packet to the server.

The positions in its reaction are compared with those of the packet. A reset by which a server answers such a probe goes to the balancer as "not held" and not to the caller, who may have the flow at another server.

--- a/flow/gate.go
+++ b/flow/gate.go
@@ -21,9 +21,6 @@
 	// periodicTTL is how long an agent reports periodically to a balancer after a hello
 	// message that asks for it: four of them at their longest interval.
 	periodicTTL = 15 * time.Second
-	// ackSlack is the number of bytes by which a caller's acknowledgement may exceed the
-	// data seen from the server: SYN and FIN each count as a byte.
-	ackSlack = 4
 	// justStartedSequence is the highest sequence number of a first received heartbeat
 	// that shows that the server has just started. It is below 2 because an earlier agent
 	// process may have forwarded flows between the server's first and second heartbeat.
@@ -122,15 +119,12 @@
 // towards the server's capacity; answerPending, from the request's data to the answer, measures
 // the time of an answer; and request is judged once, also if there is no answer.
 type gateFlow struct {
-	state            gateState
-	via              netip.AddrPort // balancer that forwarded the latest packet
-	instance         string         // of the server
-	opener           uint32         // sequence number of the caller's first packet
-	hasOpener        bool
-	serverFirst      uint32 // sequence number of the server's first packet
-	serverEnd        uint32 // sequence number after the last byte that the server sent
-	hasServerFirst   bool
-	hasServerEnd     bool   // serverEnd is known although the server's first packet is not
+	state    gateState
+	via      netip.AddrPort // balancer that forwarded the latest packet
+	instance string         // of the server
+	evidence
+	probe            positions // of the packet about which the server's next packet decides
+	probing          bool
 	callerEnd        uint32 // sequence number after the last byte that the caller sent
 	hasCallerEnd     bool
 	requestActive    bool // counts as a request in progress, from the first packet on
@@ -490,7 +484,8 @@
 // openAtServer adds a flow and sends its first packet to the server.
 func (g *Gate) openAtServer(now time.Time, via netip.AddrPort, key Key, opener uint32, packet []byte) *gateFlow {
 	f := g.addFlow(now, key, gateOffered)
-	f.via, f.opener, f.hasOpener = via, opener, true
+	f.via = via
+	f.recordOpener(opener, g.complete(now))
 	g.unanswered.push(pendingFlow{key, now})
 	g.sendToServer(packet)
 	return f
--- a/flow/held.go
+++ b/flow/held.go
@@ -8,44 +8,24 @@
 // onPacket processes a packet of a flow that should be open at the server.
 func (g *Gate) onPacket(now time.Time, from netip.AddrPort, kind MessageKind, s *Segment, packet []byte) {
 	f := g.flows[s.Key]
-	switch {
-	case f == nil && g.complete(now):
-		g.replyNotHeld(now, from, kind, s, ReasonNotHeld, BasisNoEntry, packet)
-	case f == nil && !g.server.responded:
-		// Whether a server runs is not known yet. Without one, the operating system may
-		// answer the packet with a reset, which ends the flow that another server holds.
-		g.stats.Dropped++
-	case f == nil:
-		g.probe(now, from, s, packet)
-	case f.state == gateLost:
-		f.noticeDue = false
-		g.replyNotHeld(now, from, kind, s, ReasonLost, BasisEnded, packet)
-	case !f.matches(s):
-		// Two servers received the first packet, and the caller accepted the other one's
-		// answer. The flow's entry stays, not open: this server would answer packets of
-		// the flow with a reset.
-		g.replyNotHeld(now, from, kind, s, ReasonNotHeld, BasisOtherFlow, packet)
-	default:
+	result, basis := g.answer(now, f, positionsOf(s))
+	switch result {
+	case FlowHeld:
 		g.deliver(now, from, kind, f, s, packet)
+	case FlowNeedsPacket:
+		g.sendProbe(now, from, f, s, packet)
+	case FlowLost:
+		f.noticeDue = false
+		g.replyNotHeld(now, from, kind, s, ReasonLost, basis, packet)
+	case FlowNotHeld:
+		// The entry stays if there is one: another server may hold a flow from the same port,
+		// and this one would answer packets of that flow with a reset.
+		g.replyNotHeld(now, from, kind, s, ReasonNotHeld, basis, packet)
+	case FlowUnknown:
+		g.stats.Dropped++
 	}
 }
 
-// opensSameFlow reports whether a first packet is another copy of the one that opened the
-// flow. Callers reuse their ports: a first packet with another sequence number opens a new
-// flow, which is subject to the same checks as any other.
-func (f *gateFlow) opensSameFlow(s *Segment) bool { return f.hasOpener && f.opener == s.Seq }
-
-// matches reports whether a caller's packet belongs to the flow that this server holds: it
-// acknowledges bytes that this server sent. Another server may have answered the same first
-// packet, or hold a newer flow from the same port; this server would answer packets of such
-// a flow with a reset.
-func (f *gateFlow) matches(s *Segment) bool {
-	if f.state == gateOffered {
-		return !s.HasAck
-	}
-	return !f.hasServerFirst || !s.HasAck || s.Ack-f.serverFirst <= f.serverEnd-f.serverFirst+ackSlack
-}
-
 // deliver sends a caller's packet to the server that holds its flow.
 func (g *Gate) deliver(now time.Time, from netip.AddrPort, kind MessageKind, f *gateFlow, s *Segment, packet []byte) {
 	quiet := now.Sub(f.lastPacketAt)
@@ -72,6 +52,7 @@
 // not sent before counts as a request in progress until the server sends data.
 func (g *Gate) recordCallerPacket(now time.Time, f *gateFlow, s *Segment) {
 	end := s.Seq + uint32(s.Data)
+	f.recordCallerPosition(end)
 	fresh := !f.hasCallerEnd || int32(end-f.callerEnd) > 0
 	if s.Data > 0 && fresh {
 		f.callerEnd, f.hasCallerEnd = end, true
@@ -101,17 +82,45 @@
 	g.requestSent(now, key, f)
 }
 
-// probe sends a packet to the server to find out whether it holds the flow. The server
+// sendProbe sends a packet to the server to find out whether it holds the packet's flow. A server
 // sends back (bounces) packets of flows that it does not hold.
-func (g *Gate) probe(now time.Time, from netip.AddrPort, s *Segment, packet []byte) {
-	if !g.makeSpace(now) {
-		g.stats.Dropped++
-		return
+func (g *Gate) sendProbe(now time.Time, from netip.AddrPort, f *gateFlow, s *Segment, packet []byte) {
+	if f == nil || f.state == gateLost {
+		if f == nil && !g.makeSpace(now) {
+			g.stats.Dropped++
+			return
+		}
+		f = g.addFlow(now, s.Key, gateProbed)
 	}
-	g.addFlow(now, s.Key, gateProbed).via = from
+	f.via, f.lastPacketAt = from, now
+	f.probe, f.probing = positionsOf(s), true
 	g.sendToServer(packet)
 }
 
+// concludeProbe replies to the balancer whose packet was sent to the server as a probe, once a
+// packet of the server shows whether it belongs to the flow that the server holds.
+func (g *Gate) concludeProbe(now time.Time, f *gateFlow, key Key) {
+	switch f.match(f.probe) {
+	case sameFlow:
+		f.state, f.probing = gateOpen, false
+		g.reply(now, f.via, Message{Kind: Held, Key: key}, nil)
+	case otherFlow:
+		g.rejectProbe(now, f, key, BasisOtherFlow)
+	}
+}
+
+// rejectProbe replies that the server does not hold the flow of the packet that was sent to it as
+// a probe.
+func (g *Gate) rejectProbe(now time.Time, f *gateFlow, key Key, basis Basis) {
+	f.probing = false
+	g.replyNotHeld(now, f.via, Lookup, &Segment{Key: key}, ReasonNotHeld, basis, nil)
+	if f.state == gateProbed {
+		g.removeFlow(key, RemovedBounced)
+	} else if f.serverBound == unbounded {
+		f.serverBound = exact // the flow is not open, so the server has sent its first packet at most
+	}
+}
+
 // replyNotHeld replies to a balancer that the server does not hold the flow. A packet
 // received with a Pass message is returned with the reply, so that the balancer can look
 // up or reset the flow at once.
@@ -134,14 +143,19 @@
 func (g *Gate) FromServer(now time.Time, s Segment, packet []byte) {
 	g.recordActivity(now)
 	f := g.flows[s.Key]
-	if s.Bounced {
+	switch {
+	case s.Bounced:
 		g.onBounced(now, f, &s, packet)
 		return
-	}
-	if f == nil || f.state == gateLost {
+	case s.Rst && f != nil && f.probing:
+		// Answers the probe. Its caller may have the flow at another server, and accepts any
+		// reset.
+		g.rejectProbe(now, f, s.Key, BasisBounced)
+		return
+	case !s.Rst && (f == nil || f.state == gateLost):
 		f = g.addExistingFlow(now, &s)
 	}
-	if f != nil {
+	if f != nil && f.state != gateLost {
 		g.recordServerPacket(now, f, &s)
 	}
 	g.sendToCaller(s.Key, packet)
@@ -160,7 +174,9 @@
 		return g.addFlow(now, s.Key, gateOpen)
 	}
 	f := g.addFlow(now, s.Key, gateOffered)
-	f.opener, f.hasOpener = s.Ack-synLength, s.HasAck
+	if s.HasAck {
+		f.recordOpener(s.Ack-synLength, g.complete(now))
+	}
 	return f
 }
 
@@ -172,9 +188,12 @@
 		g.recordServerFirst(now, f, s)
 	}
 	fresh, overtook := f.advanceServerEnd(s)
+	f.recordPositions(s)
 	if f.state == gateProbed {
 		f.state = gateOpen
-		g.reply(now, f.via, Message{Kind: Held, Key: s.Key}, nil)
+	}
+	if f.probing {
+		g.concludeProbe(now, f, s.Key)
 	}
 	// A repeat of an earlier answer does not answer a request sent since. A close that
 	// overtakes the data of an answer shows the answer.
@@ -203,6 +222,9 @@
 	if f.state != gateOpen && !(f.hasServerFirst && f.serverFirst == s.Seq) {
 		f.serverFirst, f.serverEnd, f.hasServerFirst = s.Seq, s.Seq, true
 	}
+	if f.state == gateProbed {
+		f.state = gateAnswered
+	}
 	if f.state == gateOffered {
 		f.state = gateAnswered
 		g.unconfirmedFlows.push(pendingFlow{s.Key, now})
@@ -214,19 +236,6 @@
 	}
 }
 
-// advanceServerEnd moves serverEnd to the end of a packet's data. fresh is whether that is
-// beyond all that was received; overtook is whether data before the packet has not arrived.
-func (f *gateFlow) advanceServerEnd(s *Segment) (fresh, overtook bool) {
-	end := s.Seq + uint32(s.Data)
-	beyond := int32(end-f.serverEnd) > 0
-	fresh = !f.hasServerFirst || beyond
-	overtook = fresh && f.hasServerFirst && int32(s.Seq-f.serverEnd) > synLength
-	if beyond || !f.hasServerFirst && !f.hasServerEnd {
-		f.serverEnd, f.hasServerEnd = end, true
-	}
-	return fresh, overtook
-}
-
 // recordServerReset counts a reset by the server while a request's answer is pending as a
 // failure. On a flow that the server has closed before, a reset is its usual answer to data.
 func (g *Gate) recordServerReset(now time.Time, f *gateFlow) {
@@ -292,14 +301,13 @@
 	}
 	via := f.via
 	switch {
-	case s.first() && f.state == gateOffered:
+	case s.first() && f.state == gateOffered && f.opensSameFlow(s):
 		g.removeFlow(s.Key, RemovedBounced)
 		g.refuse(now, via, s.Key, ReasonBounced)
 	case s.first():
-	case f.state == gateProbed:
-		g.removeFlow(s.Key, RemovedBounced)
-		g.replyNotHeld(now, via, Lookup, s, ReasonNotHeld, BasisBounced, packet)
-	case f.state == gateOpen && !f.closed():
+	case f.probing:
+		g.rejectProbe(now, f, s.Key, BasisBounced)
+	case f.state == gateOpen && !f.closed() && f.match(positionsOf(s)) == sameFlow:
 		g.endRequest(f)
 		g.forgetRequest(f)
 		g.forgetKept(s.Key, f)
--- a/flow/lookup_result.go
+++ b/flow/lookup_result.go
@@ -62,35 +62,28 @@
 	for b = b[numberSize:]; len(b) >= querySize; b = b[querySize:] {
 		key, _ := DecodeKey(b)
 		s := Segment{Key: key, Ack: binary.LittleEndian.Uint32(b[KeySize:]), HasAck: true}
-		if f := g.lookup(now, &s); f != FlowNotHeld {
-			g.queryAnswer = append(key.Append(g.queryAnswer), byte(f))
+		if r := g.lookup(now, &s); r != FlowNotHeld {
+			g.queryAnswer = append(key.Append(g.queryAnswer), byte(r))
 		}
 	}
 	g.reply(now, from, Message{Kind: QueryAnswer}, g.queryAnswer)
 }
 
-// lookup returns whether the server holds the flow that a packet belongs to.
+// lookup returns whether the server holds the flow of a packet of which the acknowledgement is
+// known, but not the sequence number.
 func (g *Gate) lookup(now time.Time, s *Segment) LookupResult {
 	f := g.flows[s.Key]
-	switch {
-	case f == nil && g.complete(now):
+	result, basis := g.answer(now, f, positions{ack: s.Ack, hasAck: s.HasAck})
+	switch result {
+	case FlowNotHeld:
 		g.stats.NotHeld++
-		return FlowNotHeld
-	case f == nil && !g.server.responded:
-		return FlowUnknown
-	case f == nil:
-		return FlowNeedsPacket
-	case f.state == gateLost:
+		if basis != BasisNoEntry {
+			g.trace.NotHeld(now, s.Key, ReasonNotHeld, basis)
+		}
+	case FlowLost:
 		f.noticeDue = false
 		g.stats.Lost++
-		g.trace.NotHeld(now, s.Key, ReasonLost, BasisEnded)
-		return FlowLost
-	case f.state == gateProbed:
-		return FlowNeedsPacket
-	case !f.matches(s):
-		g.stats.NotHeld++
-		g.trace.NotHeld(now, s.Key, ReasonNotHeld, BasisOtherFlow)
-		return FlowNotHeld
+		g.trace.NotHeld(now, s.Key, ReasonLost, basis)
 	}
-	return FlowHeld
+	return result
 }
