agent: a lost flow is answered for only with evidence that the packet is of that flow

Callers saw: an open flow is reset although its server lives and holds it, if another server had crashed within the last minute and had held an earlier flow from the same port.

Cause: an agent keeps the flows that its server has lost, for a minute, and answered "lost" for any packet with their addresses and ports, without the comparison of positions that all other entries had. A balancer ends a flow at the first such answer.

Change: the rule of flow/evidence.go holds for lost flows too. A packet that is not of the lost flow is answered as if there were no entry.

TestQueryIsAnsweredForAllFlows had added a lost flow without any position, which no packet leads to. It now has the position that its query names; what is asked and expected is the same.

--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -186,7 +186,7 @@
 		basis, belongs = BasisOtherFlow, f.match(p)
 	}
 	switch {
-	case f != nil && f.state == gateLost:
+	case belongs == sameFlow && f.state == gateLost:
 		return FlowLost, BasisEnded
 	case belongs == sameFlow:
 		return FlowHeld, 0
--- a/flow/reused_port_test.go
+++ b/flow/reused_port_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 )
@@ -15,6 +16,14 @@
 	return Segment{Seq: c.seq + 51, Ack: a.Seq + 101, HasAck: true, Data: 50}
 }
 
+// reopen opens another flow from the same port and sends a request on it.
+func (c *testCaller) reopen(via netip.AddrPort) {
+	c.seq += 1 << 30
+	c.w.toCaller = nil
+	c.open(via, 0)
+	c.request(via)
+}
+
 // Guards against a reset of an open flow: after a restart of its agent, a first packet that was
 // read late is offered to that agent, which then denies what it has not seen of the flow.
 func TestLateFirstPacketDoesNotHideOpenFlow(t *testing.T) {
@@ -41,3 +50,31 @@
 		})
 	}
 }
+
+// Agents answer a lookup in a fixed order, which a flow's port decides on.
+const firstPort, ports = 1000, 16
+
+// Guards against a reset of an open flow: another server lost an earlier flow from the same port.
+func TestLostFlowDoesNotEndNewerFlowFromSamePort(t *testing.T) {
+	for port := range uint16(ports) {
+		w := newWorld(t, 3)
+		c := w.caller(firstPort+port, listingPort)
+		c.open(balancerA, 0)
+		c.request(balancerA)
+		n := c.holders()[0]
+		v := w.server(n)
+		v.instance, v.flows, v.rejecting = "i-new", map[Key]*serverFlow{}, true
+		w.heartbeat(n, 1, false)
+		w.advance(3 * time.Second)
+		w.resets = nil // of the lost flow
+		c.reopen(balancerA)
+		if got := c.holders(); len(got) != 1 || got[0] == n {
+			t.Fatalf("the newer flow is held by %v, want by another server than %d", got, n)
+		}
+		c.send(balancerB, c.next())
+		w.advance(3 * time.Second)
+		if len(w.resets) > 0 || c.served() != 2 {
+			t.Errorf("port %d: %d resets, %d of 2 requests answered", firstPort+port, len(w.resets), c.served())
+		}
+	}
+}
--- a/flow/waiting_callers_test.go
+++ b/flow/waiting_callers_test.go
@@ -132,7 +132,8 @@
 	open := Segment{Key: Key{CallerPort: 1}, Seq: 1, Syn: true}
 	g.FromBalancer(now, balancerA, &Message{Kind: Open, Service: listing}, &open, []byte{1})
 	g.FromServer(now, Segment{Key: open.Key, Seq: 9, Ack: 2, Syn: true, HasAck: true}, []byte{1})
-	g.addFlow(now, Key{CallerPort: 2}, gateLost)
+	lost := g.addFlow(now, Key{CallerPort: 2}, gateLost)
+	lost.serverEnd, lost.hasServerEnd = 10, true
 	g.Effects()
 	query := make([]byte, numberSize)
 	for port := range uint16(4) {
