agent: a flow seen in the middle is compared by its positions in both directions

Callers saw: a flow that gets no answer for 25 s and more although its server lives and the caller repeats its packets. Agents had been restarted within the last minute, then the balancers, and the caller had used the port before.

Cause: a restarted agent learns of an open flow from a packet of its server in the middle of the flow. Such an entry has no first number of the server, and every packet with its addresses and ports was taken for one of that flow. A balancer that looks up a newer flow from the port takes this agent's "held" for the answer, for good.

TestFlowSeenInTheMiddleDoesNotClaimNewerFlowFromSamePort fails before (16 of 16 ports: the older flow's server receives the newer flow's packets) and passes now.

--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -98,9 +98,6 @@
 
 // match returns whether a caller's packet belongs to the entry's flow.
 func (v *evidence) match(p positions) match {
-	if !v.hasServerFirst && v.hasServerEnd {
-		return sameFlow // seen in the middle
-	}
 	server, caller := undecided, undecided
 	if p.hasAck {
 		server = v.serverStream().match(p.ack)
--- a/flow/reused_port_test.go
+++ b/flow/reused_port_test.go
@@ -6,6 +6,15 @@
 	"time"
 )
 
+// restartAgents restarts all agents, one after the other, beside their running servers.
+func (w *world) restartAgents() {
+	for n := range len(w.agents) {
+		w.restartAgent(n)
+		w.heartbeat(n, w.server(n).sequence+1, false)
+		w.advance(100 * time.Millisecond)
+	}
+}
+
 // next returns the caller's next packet with data, after one answered request.
 func (c *testCaller) next() Segment {
 	c.w.t.Helper()
@@ -78,3 +87,31 @@
 		}
 	}
 }
+
+// Guards against an open flow without answers: after a restart of the agents, one of them claims
+// it by an earlier flow from the same port, of which it has seen the middle only.
+func TestFlowSeenInTheMiddleDoesNotClaimNewerFlowFromSamePort(t *testing.T) {
+	for port := range uint16(ports) {
+		w := newWorld(t, 3)
+		c := w.caller(firstPort+port, listingPort)
+		c.open(balancerA, 0)
+		c.request(balancerA)
+		n := c.holders()[0]
+		w.restartAgents()
+		c.send(balancerA, c.next())
+		w.heartbeat(n, w.server(n).sequence+1, true) // gets no new flows
+		w.advance(12 * time.Second)
+		c.reopen(balancerA)
+		if got := c.holders(); len(got) != 2 {
+			t.Fatalf("servers %v hold a flow from the port, want the older one's and the newer one's", got)
+		}
+		before := len(w.server(n).received)
+		for range 3 {
+			c.send(balancerB, c.next())
+			w.advance(400 * time.Millisecond)
+		}
+		if got := len(w.server(n).received) - before; len(w.resets) > 0 || c.served() < 2 || got > 0 {
+			t.Errorf("port %d: %d resets, %d answers; the older flow's server received %d packets", firstPort+port, len(w.resets), c.served(), got)
+		}
+	}
+}
