agent: a first packet replaces an open flow only once the server has accepted it

Callers saw: a reset of an open flow, if a first packet of an older flow from the same port arrives late at the agent beside the server of the newer one, and the server does not accept it.

Cause: the agent put the offered flow in the place of the open one when it sent the first packet to the server. If the server sent it back or left it unanswered, the entry was removed and the table was complete without the open flow.

Evidence: TestDelayedFirstPacketOfOlderFlowDoesNotReplaceOpenFlow, before: 1 reset and 1 of 2 requests answered in each of three cases (sent back, no answer, answered with the open flow's position); now 0 resets and 2 of 2. TestFlowToBeReplacedIsLostWithItsServer, before: "not held" instead of "lost" if the server ends before it answers.

Packets of the open flow are sent to the server as probes meanwhile. A first packet that the server accepts after that replaces the flow (TestAcceptedFirstPacketReplacesOpenFlow, with a delay of 0 and of the answer timeout).

--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -137,6 +137,14 @@
 // flow, which is subject to the same checks as any other.
 func (v *evidence) opensSameFlow(s *Segment) bool { return v.hasOpener && v.opener == s.Seq }
 
+// openedBy reports whether the flow may have been opened by a first packet with the given number.
+func (v *evidence) openedBy(seq uint32) bool {
+	if v.hasOpener {
+		return v.opener == seq
+	}
+	return v.callerStream().match(seq) != otherFlow
+}
+
 // advanceServerEnd moves serverEnd to the end of a packet's data. fresh is whether that is
 // beyond all that was received; overtook is whether data before the packet has not arrived.
 func (v *evidence) advanceServerEnd(s *Segment) (fresh, overtook bool) {
@@ -189,7 +197,7 @@
 		return FlowHeld, 0
 	case belongs == otherFlow && f.confirmed():
 		return FlowNotHeld, basis
-	case f != nil && f.confirmed():
+	case f != nil && (f.confirmed() || f.replaces != nil && f.replaces.match(p) != otherFlow):
 		return FlowNeedsPacket, 0
 	case g.complete(now):
 		return FlowNotHeld, basis
--- a/flow/gate.go
+++ b/flow/gate.go
@@ -125,7 +125,8 @@
 	evidence
 	probe            positions // of the packet about which the server's next packet decides
 	probing          bool
-	callerEnd        uint32 // sequence number after the last byte that the caller sent
+	replaces         *replacedFlow // gateOffered: the open flow from the same port, if there is one
+	callerEnd        uint32        // sequence number after the last byte that the caller sent
 	hasCallerEnd     bool
 	requestActive    bool // counts as a request in progress, from the first packet on
 	requestStartedAt time.Time
@@ -483,8 +484,9 @@
 
 // openAtServer adds a flow and sends its first packet to the server.
 func (g *Gate) openAtServer(now time.Time, via netip.AddrPort, key Key, opener uint32, packet []byte) *gateFlow {
+	replaced := g.flows[key].toReplace()
 	f := g.addFlow(now, key, gateOffered)
-	f.via = via
+	f.via, f.replaces = via, replaced
 	f.recordOpener(opener, g.complete(now))
 	g.unanswered.push(pendingFlow{key, now})
 	g.sendToServer(packet)
--- a/flow/held.go
+++ b/flow/held.go
@@ -152,9 +152,13 @@
 		// reset.
 		g.rejectProbe(now, f, s.Key, BasisBounced)
 		return
-	case !s.Rst && (f == nil || f.state == gateLost):
+	case !s.Rst && (f == nil || f.state == gateLost),
+		s.Syn && f.state == gateOpen && !f.openedBy(s.Ack-synLength):
 		f = g.addExistingFlow(now, &s)
 	}
+	if f != nil && f.replaces != nil {
+		g.settleReplaced(f, &s)
+	}
 	if f != nil && f.state != gateLost {
 		g.recordServerPacket(now, f, &s)
 	}
@@ -302,7 +306,9 @@
 	via := f.via
 	switch {
 	case s.first() && f.state == gateOffered && f.opensSameFlow(s):
-		g.removeFlow(s.Key, RemovedBounced)
+		if !g.restoreReplaced(s.Key, f) {
+			g.removeFlow(s.Key, RemovedBounced)
+		}
 		g.refuse(now, via, s.Key, ReasonBounced)
 	case s.first():
 	case f.probing:
@@ -367,6 +373,7 @@
 		g.endRequest(f)
 		g.forgetKept(w.key, f)
 		g.refuse(now, f.via, w.key, ReasonUnresponsive)
+		g.restoreReplaced(w.key, f)
 	}
 }
 
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -80,6 +80,10 @@
 		case gateOpen:
 			g.loseFlow(key, f)
 		case gateOffered, gateAnswered, gateProbed:
+			if g.restoreReplaced(key, f) {
+				g.loseFlow(key, f)
+				continue
+			}
 			g.removeFlow(key, RemovedEnded)
 		}
 	}
--- a/flow/removal.go
+++ b/flow/removal.go
@@ -57,7 +57,7 @@
 // answered is not open: its caller can't have accepted it. Whether the server holds a probed
 // flow was not known before it was added to the table.
 func (f *gateFlow) mayBeHeld() bool {
-	return (f.state == gateAnswered || f.state == gateOpen) && !f.closed()
+	return (f.state == gateAnswered || f.state == gateOpen) && !f.closed() || f.replaces != nil
 }
 
 // removeFlow removes a flow and keeps its memory for reuse. The table is incomplete from then
--- a/flow/reused_port_test.go
+++ b/flow/reused_port_test.go
@@ -115,3 +115,67 @@
 		}
 	}
 }
+
+// Guards against a reset of an open flow: a delayed first packet of an older flow from the same
+// port, which the server does not accept, takes the flow's place in the agent's table.
+func TestDelayedFirstPacketOfOlderFlowDoesNotReplaceOpenFlow(t *testing.T) {
+	for name, reaction := range map[string]func(w *world, v *worldServer){
+		"sent back":        func(_ *world, v *worldServer) { v.rejecting = true },
+		"no answer":        func(_ *world, v *worldServer) { v.unresponsive = true },
+		"answered as open": func(_ *world, v *worldServer) { v.acknowledges = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			c := w.caller(firstPort, listingPort)
+			c.open(balancerA, 0)
+			c.request(balancerA)
+			n := c.holders()[0]
+			v := w.server(n)
+			reaction(w, v)
+			older := Segment{Key: c.key, Seq: c.seq - 1<<30, Syn: true}
+			w.gate(n).FromBalancer(w.now, balancerB, &Message{Kind: Open, Service: listing}, &older, w.packet(older))
+			w.deliver()
+			w.advance(DefaultAnswerTimeout)
+			v.rejecting, v.unresponsive = false, false
+			w.advance(6 * time.Second)
+			c.send(balancerB, c.next())
+			w.advance(time.Second)
+			if len(w.resets) > 0 || c.served() != 2 {
+				t.Errorf("%d resets, %d of 2 requests answered", len(w.resets), c.served())
+			}
+		})
+	}
+}
+
+// Guards against a caller that can't use its port again: the agent keeps the flow that the caller
+// has left, although the server has accepted the next one.
+func TestAcceptedFirstPacketReplacesOpenFlow(t *testing.T) {
+	for _, after := range []time.Duration{0, DefaultAnswerTimeout} {
+		x := newEvidenceRun(true)
+		x.open()
+		x.receive(Open, Segment{Seq: caseOpener + caseFar, Syn: true})
+		x.now = x.now.Add(after)
+		x.g.Tick(x.now)
+		x.fromServer(Segment{Seq: add(caseFirst, caseFar), Ack: caseOpener + caseFar + 1, Syn: true, HasAck: true})
+		for want, p := range map[LookupResult]positions{
+			FlowHeld:    {caseOpener + caseFar + 1, add(caseFirst, caseFar+1), true, true},
+			FlowNotHeld: {caseNextSeq, caseNextAck, true, true},
+		} {
+			if got, _ := x.g.answer(x.now, x.g.flows[caseKey], p); got != want {
+				t.Errorf("answered after %v, %+v: %v, want %v", after, p, got, want)
+			}
+		}
+	}
+}
+
+// Guards against callers that are not notified: the server ends before it has answered a first
+// packet, and the flow that this packet was to replace is forgotten.
+func TestFlowToBeReplacedIsLostWithItsServer(t *testing.T) {
+	x := newEvidenceRun(true)
+	x.open()
+	x.receive(Open, Segment{Seq: caseOpener + caseFar, Syn: true})
+	x.g.Heartbeat(x.now, Heartbeat{Instance: "b", Sequence: 1, Service: listing, Slots: 5})
+	if got, _ := x.g.answer(x.now, x.g.flows[caseKey], positions{caseNextSeq, caseNextAck, true, true}); got != FlowLost {
+		t.Errorf("%v, want lost", got)
+	}
+}
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -46,6 +46,7 @@
 	sequence     uint64 // of its last heartbeat
 	unresponsive bool   // does not react to packets
 	rejecting    bool   // accepts no new flows
+	acknowledges bool   // answers a first packet on an open flow with an acknowledgement
 	seq          uint32
 	flows        map[Key]*serverFlow
 	received     []Segment     // packets received
@@ -56,6 +57,7 @@
 type serverFlow struct {
 	first uint32
 	open  bool
+	next  Segment // the positions of the server's next packet
 }
 
 const (
@@ -284,6 +286,8 @@
 	switch {
 	case s.first() && v.rejecting:
 		return []Segment{bounced}
+	case s.first() && v.acknowledges && f != nil && f.open:
+		return []Segment{f.next}
 	case s.first():
 		if f == nil {
 			v.seq += 1000
@@ -300,6 +304,7 @@
 	if s.Data == 0 {
 		return nil
 	}
+	f.next = Segment{Key: s.Key, Seq: s.Ack + 100, Ack: s.Seq + uint32(s.Data), HasAck: true}
 	if v.deferRequest != nil {
 		v.deferRequest(s)
 		return nil
