balancer: answers about one flow do not end the lookup of another one from the same port

Callers saw (in a test only): a reset of an open flow whose server lives, from a balancer that reads a delayed packet of an older flow from the same port and one of the open flow shortly after it.

Cause: a balancer has one lookup for each pair of addresses and ports. The packet of the open flow took the place of the older one's in the lookup, but answers that its agent had given about the older one stayed valid, and so did those that arrived later. "Not held" by all then reset the open flow.

Change: a packet whose numbers are further from the looked-up one's than a caller accepts a reset for (76,800 bytes) starts the lookup again. An agent's "not held" in an answer to a Lookup carries what the packet acknowledges, in a field that was unused in it; a balancer ignores an answer about another flow. Builds from before send 0, and are believed as before. A "lost" in answer to a Lookup carries no such number: see the limits in docs/design/flow-table.md.

--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -88,6 +88,14 @@
 	return otherFlow
 }
 
+// near reports whether two packets of a caller may belong to the same flow: they are no further
+// apart than a caller accepts a reset.
+func (s *Segment) near(other *Segment) bool {
+	return nearNumber(s.Seq, other.Seq) && (!s.HasAck || !other.HasAck || nearNumber(s.Ack, other.Ack))
+}
+
+func nearNumber(a, b uint32) bool { return a-b+resetWindow <= 2*resetWindow }
+
 // positions are the sequence numbers of a caller's packet. A Query names the acknowledgement only.
 type positions struct {
 	seq, ack       uint32
--- a/flow/held.go
+++ b/flow/held.go
@@ -113,7 +113,7 @@
 // a probe.
 func (g *Gate) rejectProbe(now time.Time, f *gateFlow, key Key, basis Basis) {
 	f.probing = false
-	g.replyNotHeld(now, f.via, Lookup, &Segment{Key: key}, ReasonNotHeld, basis, nil)
+	g.replyNotHeld(now, f.via, Lookup, &Segment{Key: key, Ack: f.probe.ack}, ReasonNotHeld, basis, nil)
 	if f.state == gateProbed {
 		g.removeFlow(key, RemovedBounced)
 	} else if f.serverBound == unbounded {
@@ -136,7 +136,11 @@
 	if kind != Pass {
 		packet = nil
 	}
-	g.reply(now, to, Message{Kind: NotHeld, Reason: reason, Key: s.Key}, packet)
+	m := Message{Kind: NotHeld, Reason: reason, Key: s.Key}
+	if kind == Lookup && reason == ReasonNotHeld {
+		m.ResetSeq = s.Ack
+	}
+	g.reply(now, to, m, packet)
 }
 
 // FromServer processes a packet that the server sent.
--- a/flow/lookup.go
+++ b/flow/lookup.go
@@ -210,9 +210,18 @@
 // after a caller's retransmission time triggers another query to the agents that have
 // not answered, and so does the first one with data: an agent that has restarted sees
 // whether its server holds the flow by the server's reaction, and a server does not
-// react to a packet without data. Answers received before remain valid.
+// react to a packet without data. Answers received before remain valid, unless the packet belongs
+// to another flow from the same port: then the lookup starts again for that one.
 func (d *Director) continueLookup(now time.Time, e *entry, s *Segment, packet []byte) {
 	l := e.lookup
+	if !l.segment.near(s) {
+		if s.Rst {
+			d.countDropped(ReasonNotHeld)
+			return
+		}
+		d.startLookup(now, e, s, packet, false)
+		return
+	}
 	first := s.Data > 0 && l.segment.Data == 0
 	due := now.Sub(l.lastAttemptAt) >= minRetransmissionTime
 	if replaces := s.Data > 0 || l.segment.Data == 0; replaces && (first || due) {
@@ -304,8 +313,8 @@
 		return
 	}
 	q := e.lookup.target(from)
-	if q == nil {
-		// This answers a query for an earlier flow from the same port.
+	if q == nil || m.Kind == NotHeld && m.ResetSeq != 0 && !nearNumber(m.ResetSeq, e.lookup.segment.Ack) {
+		// This answers a query for another flow from the same port.
 		return
 	}
 	q.answered = true
--- a/flow/message.go
+++ b/flow/message.go
@@ -154,7 +154,7 @@
 	Introduce    bool                // Report: the sender asks the receiver to introduce it to other agents
 	Round        uint16              // Report, QueryAnswer: number of the sender's latest introduction; Introduced and with Introduce: of the one in progress
 	ListVersion  uint16              // NotHeld, QueryAnswer, Introductions: version of the sender's list of introduced agents; Lookup, Query: version of the receiver's that the sender knows
-	ResetSeq     uint32              // NotHeld: sequence number with which the idle caller of a lost flow is reset, 0: not given
+	ResetSeq     uint32              // NotHeld, 0: not given: with ReasonLost, the sequence number with which the idle caller of a lost flow is reset; in an answer to Lookup, what the packet looked up acknowledges
 }
 
 // ReadAge is the age of a read of the configuration from the store, in milliseconds.
