balancer: a report of an earlier process of an agent does not rule out the next one

Cause: a balancer ordered "this process's server holds no flows" and the introduction of the agent's next process by time, and took the time at which it read the first for the time at which it was said. A report read 1.2 s late came after the introduction, and the agent was left out of the lookup.

Change: a report speaks of one process of an agent. If another process was introduced that this balancer has not received messages from before, the report is outdated and rules nothing out: what it says of the flows and of the end of the server is not taken over. Which of two processes is the earlier one is known by the messages received from it: the introduction of an earlier process is older than its last message, and no report that a balancer receives was sent before that balancer started. The same process's introductions are ordered by their rounds, as before.

--- a/flow/director.go
+++ b/flow/director.go
@@ -71,32 +71,34 @@
 	service           ServiceID
 	state             ServerState
 	incarnation       uint64
-	zone              uint32    // ZoneID of its availability zone; 0: unknown
-	local             bool      // in the balancer's own zone
-	confirmedByPeer   bool      // named by a balancer that had received messages from it
-	peerReceivedAt    time.Time // when other balancers last received a message from it, as they reported
-	lastReceivedAt    time.Time // last message from it; zero: none yet
-	contactedAt       time.Time // when it last received a message from this balancer, as its messages show
-	unresponsive      bool      // gets no new flows until it answers again
-	holdsNoFlows      bool      // at flowsKnownAt its server held no flow and got none
-	flowsKnownAt      time.Time // when the agent, or another balancer for it, reported that
-	recentlyStarted   bool      // it and its server had recently started when they first made contact
-	unresponsiveSince time.Time // when it became unresponsive
-	failureAnnounced  bool      // it counts as unresponsive because another balancer announced that
-	failedAfter       time.Time // when that balancer last received a message from it
-	announcedFailed   bool      // this balancer has announced that it stopped answering
-	watched           bool      // has asked for hello messages every watchInterval
-	answerOptional    bool      // lookups need not wait for its answer, as of the last check
-	unanswered        int       // messages that it has to answer, sent since its last message
-	firstUnansweredAt time.Time // when the first of them was sent
-	nextHelloAt       time.Time // when a suspect is sent its next hello
-	endedAt           time.Time // when it was first known that its server has ended
-	staleQueued       bool      // listed in Director.staleStates
-	round             uint16    // number of its latest introduction, as of its last report
-	introduced        bool      // learned of from another agent
-	replaced          bool      // an earlier process at its address may have taken flows since that process was introduced
-	introducing       uint16    // number of the introduction in progress here; 0: none
-	listVersion       uint16    // version of its list of introduced agents that this balancer knows; 0: none
+	otherProcessAt    time.Time  // last message from another process of it than that one; zero: none known
+	introduction      introduced // the latest one known
+	zone              uint32     // ZoneID of its availability zone; 0: unknown
+	local             bool       // in the balancer's own zone
+	confirmedByPeer   bool       // named by a balancer that had received messages from it
+	peerReceivedAt    time.Time  // when other balancers last received a message from it, as they reported
+	lastReceivedAt    time.Time  // last message from it; zero: none yet
+	contactedAt       time.Time  // when it last received a message from this balancer, as its messages show
+	unresponsive      bool       // gets no new flows until it answers again
+	holdsNoFlows      bool       // at flowsKnownAt its server held no flow and got none
+	flowsKnownAt      time.Time  // when the agent, or another balancer for it, reported that
+	recentlyStarted   bool       // it and its server had recently started when they first made contact
+	unresponsiveSince time.Time  // when it became unresponsive
+	failureAnnounced  bool       // it counts as unresponsive because another balancer announced that
+	failedAfter       time.Time  // when that balancer last received a message from it
+	announcedFailed   bool       // this balancer has announced that it stopped answering
+	watched           bool       // has asked for hello messages every watchInterval
+	answerOptional    bool       // lookups need not wait for its answer, as of the last check
+	unanswered        int        // messages that it has to answer, sent since its last message
+	firstUnansweredAt time.Time  // when the first of them was sent
+	nextHelloAt       time.Time  // when a suspect is sent its next hello
+	endedAt           time.Time  // when it was first known that its server has ended
+	staleQueued       bool       // listed in Director.staleStates
+	round             uint16     // number of its latest introduction, as of its last report
+	introduced        bool       // learned of from another agent
+	replaced          bool       // an earlier process at its address may have taken flows since that process was introduced
+	introducing       uint16     // number of the introduction in progress here; 0: none
+	listVersion       uint16     // version of its list of introduced agents that this balancer knows; 0: none
 	health            health.Report
 	standing          health.Member // in the panel of its service
 	onTrialSince      time.Time     // when it was first reported as on trial; zero: not current
--- a/flow/introducer.go
+++ b/flow/introducer.go
@@ -69,12 +69,15 @@
 	if a == nil {
 		d.AddAgent(now, i.addr, i.service, "")
 		a = d.agents[i.addr]
-		a.introduced = true
+		a.introduced, a.introduction = true, i
 		d.trace.Agent(now, a.addr, a.service, a.state, "introduced")
 		return
 	}
 	a.replaced = a.replaced || i.replaces || i.round != 0 && a.incarnation != 0 && a.incarnation != i.incarnation
-	if !a.holdsNoFlows || !a.introducedSince(i) {
+	if i.round != 0 && !a.introduction.at.After(i.at) {
+		a.introduction = i
+	}
+	if !a.holdsNoFlows || !a.introducedSince(i) && !d.outdated(a, a.incarnation) {
 		return
 	}
 	a.holdsNoFlows = false
@@ -94,6 +97,18 @@
 	return !i.at.Before(a.flowsKnownAt.Add(-memberAgeSlack))
 }
 
+// outdated reports whether another process of an agent may have been introduced since the one with
+// the given incarnation sent its messages. Of two processes that this balancer has received
+// messages from, the one introduced before the other's messages is the earlier one; no message
+// that it receives was sent before it started itself.
+func (d *Director) outdated(a *agent, incarnation uint64) bool {
+	i := &a.introduction
+	if i.round == 0 || i.incarnation == incarnation {
+		return false
+	}
+	return !i.at.Before(later(d.started, a.otherProcessAt).Add(-memberAgeSlack))
+}
+
 // confirmIntroduction informs an agent that others know of it. An agent of a small fleet is
 // named the others in turn, so that each agent knows of all that may hold flows.
 func (d *Director) confirmIntroduction(now time.Time, a *agent) {
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -110,8 +110,14 @@
 	d.agentReached = true
 	d.introducedAgentReached = d.introducedAgentReached || m.State == ServerReady
 	d.recordAnswer(now, a, m)
-	a.recordFlows(now, m)
+	if known && m.Incarnation != a.incarnation {
+		a.otherProcessAt = before.lastReceivedAt
+	}
+	d.recordFlows(now, a, m)
 	a.recordProcess(m)
+	if a.ended() && !a.holdsNoFlows {
+		a.state = ServerUnknown // that of the process that was introduced since
+	}
 	if m.Zone != 0 {
 		a.zone, a.local = m.Zone, m.Zone == ZoneID(d.cfg.Zone)
 	}
@@ -169,13 +175,16 @@
 	a.state, a.incarnation = m.State, m.Incarnation
 }
 
-// recordFlows records what a message says about the flows of the agent's server.
-func (a *agent) recordFlows(now time.Time, m *Message) {
+// recordFlows records what a message says about the flows of the agent's server. What an earlier
+// process said does not hold for one that was introduced since, however late it is read.
+func (d *Director) recordFlows(now time.Time, a *agent, m *Message) {
 	describes := m.Kind == Report || m.Kind == QueryAnswer
 	if describes {
 		a.recentlyStarted = m.Reason == ReasonStarted
 	}
 	switch {
+	case d.outdated(a, m.Incarnation):
+		a.holdsNoFlows = false
 	case m.State == ServerEnded || m.State != ServerReady && describes && m.Reason == ReasonNotHeld:
 		a.holdsNoFlows = true
 	case m.State == ServerReady || now.Sub(a.flowsKnownAt) > stateTTL:
