agent: a flow that its caller has not confirmed comes back too if the server does not accept a first packet

An entry whose caller's first packet after the handshake is still under way was removed if the server sent a delayed first packet of an older flow back: with a complete table the caller's packet was then answered as not held. TestDelayedFirstPacketLeavesEveryEntry (new) has each way to get an entry: before, "first packet read late, then data" was answered with "needs a packet" instead of "held". The flow comes back in the state it had.

New tests of the rule for answers, which pass before and after: Pass, Lookup and Query of the same packet get the same answer, or the Query asks for the packet; FIN and RST of another flow do not reach the server, in any state of the entry.

--- a/flow/evidence_test.go
+++ b/flow/evidence_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"encoding/binary"
 	"slices"
 	"testing"
 	"time"
@@ -149,6 +150,110 @@
 	}
 }
 
+// ask returns what the agent does with a packet that a message of the given kind carries or names.
+func (x *evidenceRun) ask(kind MessageKind, p positions) LookupResult {
+	x.g.Effects()
+	if kind == Query {
+		q := append(make([]byte, numberSize), caseKey.Append(nil)...)
+		x.g.FromBalancer(x.now, balancerA, &Message{Kind: Query}, nil, binary.LittleEndian.AppendUint32(q, p.ack))
+	} else {
+		x.receive(kind, Segment{Seq: p.seq, Ack: p.ack, HasAck: true, Data: 1})
+	}
+	result, held := FlowUnknown, false
+	for _, e := range x.g.Effects() {
+		switch {
+		case e.Kind == SendServer:
+			result = FlowNeedsPacket
+		case e.Message.Kind == Held:
+			held = true
+		case e.Message.Kind == NotHeld && e.Message.Reason == ReasonLost:
+			result = FlowLost
+		case e.Message.Kind == NotHeld:
+			result = FlowNotHeld
+		case e.Message.Kind == QueryAnswer:
+			result = resultFor(caseKey, e.Packet[numberSize:])
+		}
+	}
+	delivered := kind != Query && result == FlowNeedsPacket && !x.g.flows[caseKey].probing
+	if held || delivered {
+		return FlowHeld
+	}
+	return result
+}
+
+// Guards against a balancer that gets another answer to a forwarded packet than to a lookup or a
+// query of the same flow.
+func TestAnswerDoesNotDependOnMessageKind(t *testing.T) {
+	packets := map[string]positions{
+		"next":            {caseNextSeq, caseNextAck, true, true},
+		"old":             {caseOpener + 1, caseNextAck - caseAnswer, true, true},
+		"of another flow": {caseNextSeq + caseFar, caseNextAck + caseFar, true, true},
+		"of an older one": {caseNextSeq - caseFar, caseNextAck - caseFar, true, true},
+	}
+	for _, c := range evidenceCases {
+		for what, p := range packets {
+			var got [3]LookupResult
+			for i, kind := range []MessageKind{Pass, Lookup, Query} {
+				x := newEvidenceRun(c.complete)
+				c.do(x)
+				got[i] = x.ask(kind, p)
+			}
+			// A Query does not name the packet's sequence number, so less can be ruled out.
+			if got[0] != got[1] || got[1] != got[2] && got[2] != FlowNeedsPacket {
+				t.Errorf("%s, packet %s: Pass %v, Lookup %v, Query %v", c.name, what, got[0], got[1], got[2])
+			}
+		}
+	}
+}
+
+// Guards against a server that is reset or replaced by a packet of another flow: a close or a reset
+// of an older flow from the same port reaches the server of the open one.
+func TestCloseOfOtherFlowIsNotDelivered(t *testing.T) {
+	for _, c := range evidenceCases {
+		if c.same != FlowHeld {
+			continue
+		}
+		for name, s := range map[string]Segment{
+			"FIN":                 {Seq: caseNextSeq - caseFar, Ack: caseNextAck + caseFar, HasAck: true, Fin: true},
+			"RST":                 {Seq: caseNextSeq - caseFar, Ack: caseNextAck + caseFar, HasAck: true, Rst: true},
+			"RST without its ACK": {Seq: caseNextSeq - caseFar, Rst: true},
+		} {
+			x := newEvidenceRun(c.complete)
+			c.do(x)
+			before := *x.g.flows[caseKey]
+			x.g.Effects()
+			x.receive(Pass, s)
+			for _, e := range x.g.Effects() {
+				if e.Kind == SendServer {
+					t.Errorf("%s: the %s reaches the server", c.name, name)
+				}
+			}
+			if f := x.g.flows[caseKey]; f == nil || f.state != before.state || f.callerClosed != before.callerClosed {
+				t.Errorf("%s: the %s changes the flow's entry", c.name, name)
+			}
+		}
+	}
+}
+
+// Guards against an open flow that is forgotten, in each state of its entry: the server sends a
+// delayed first packet of an older flow from the same port back.
+func TestDelayedFirstPacketLeavesEveryEntry(t *testing.T) {
+	for _, c := range evidenceCases {
+		x := newEvidenceRun(c.complete)
+		c.do(x)
+		if f := x.g.flows[caseKey]; !f.confirmed() || f.closed() || c.same != FlowHeld {
+			continue
+		}
+		older := Segment{Seq: caseNextSeq - caseFar, Syn: true}
+		x.receive(Open, older)
+		older.Bounced = true
+		x.fromServer(older)
+		if got, _ := x.g.answer(x.now, x.g.flows[caseKey], positions{caseNextSeq, caseNextAck, true, true}); got != FlowHeld {
+			t.Errorf("%s: %v, want held", c.name, got)
+		}
+	}
+}
+
 // Guards against an open flow that counts as lost: its server sends a packet of an older flow
 // from the same port back.
 func TestBouncedPacketOfOtherFlowLeavesFlowOpen(t *testing.T) {
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -80,7 +80,7 @@
 		case gateOpen:
 			g.loseFlow(key, f)
 		case gateOffered, gateAnswered, gateProbed:
-			if g.restoreReplaced(key, f) {
+			if g.restoreReplaced(key, f) && f.state == gateOpen {
 				g.loseFlow(key, f)
 				continue
 			}
--- a/flow/replaced.go
+++ b/flow/replaced.go
@@ -5,28 +5,29 @@
 	"time"
 )
 
-// replacedFlow is an open flow in whose place a first packet from the same port was offered to the
-// server. That packet may be a delayed one of an older flow, so the open flow comes back into the
-// table unless the server accepts the packet.
+// replacedFlow is a flow that the server holds and in whose place a first packet from the same port
+// was offered to the server. That packet may be a delayed one of an older flow, so the flow comes
+// back into the table unless the server accepts the packet.
 type replacedFlow struct {
 	evidence
+	state        gateState
 	via          netip.AddrPort
 	lastPacketAt time.Time
 }
 
-// toReplace returns the open flow that another first packet would replace, nil if f is none. If f
+// toReplace returns the flow that another first packet would replace, nil if f is none. If f
 // was not answered itself, this is the flow that it would have replaced.
 func (f *gateFlow) toReplace() *replacedFlow {
 	switch {
 	case f == nil:
 		return nil
-	case f.state == gateOpen && !f.closed():
-		return &replacedFlow{f.evidence, f.via, f.lastPacketAt}
+	case f.confirmed() && !f.closed():
+		return &replacedFlow{f.evidence, f.state, f.via, f.lastPacketAt}
 	}
 	return f.replaces
 }
 
-// restoreReplaced puts the open flow back in whose place f was offered to the server, and reports
+// restoreReplaced puts the flow back in whose place f was offered to the server, and reports
 // whether there is one.
 func (g *Gate) restoreReplaced(key Key, f *gateFlow) bool {
 	r := f.replaces
@@ -36,7 +37,7 @@
 	g.endRequest(f)
 	g.forgetRequest(f)
 	g.forgetKept(key, f)
-	*f = gateFlow{state: gateOpen, instance: f.instance, evidence: r.evidence, via: r.via, createdAt: f.createdAt, lastPacketAt: r.lastPacketAt}
+	*f = gateFlow{state: r.state, instance: f.instance, evidence: r.evidence, via: r.via, createdAt: f.createdAt, lastPacketAt: r.lastPacketAt}
 	return true
 }
 
