balancer: an agent's process that sent messages before is not taken for a later one

The rule for reports of earlier processes ordered processes by the time of an introduction. That time is raised when a balancer names the agent to others later on, so an earlier process's introduction could seem to be later than its last message: the report of the present process that it holds no flows was not believed, and after its VM had failed callers of ended flows waited longer than a second.

--- a/flow/director.go
+++ b/flow/director.go
@@ -71,7 +71,8 @@
 	service           ServiceID
 	state             ServerState
 	incarnation       uint64
-	otherProcessAt    time.Time  // last message from another process of it than that one; zero: none known
+	earlierProcess    uint64     // incarnation of the process that it sent messages from before; 0: none known
+	earlierProcessAt  time.Time  // last message from that process
 	introduction      introduced // the latest one known
 	zone              uint32     // ZoneID of its availability zone; 0: unknown
 	local             bool       // in the balancer's own zone
--- a/flow/introducer.go
+++ b/flow/introducer.go
@@ -98,15 +98,14 @@
 }
 
 // outdated reports whether another process of an agent may have been introduced since the one with
-// the given incarnation sent its messages. Of two processes that this balancer has received
-// messages from, the one introduced before the other's messages is the earlier one; no message
-// that it receives was sent before it started itself.
+// the given incarnation sent its messages. A process that this balancer received messages from
+// before is an earlier one, and no message that it receives was sent before it started itself.
 func (d *Director) outdated(a *agent, incarnation uint64) bool {
 	i := &a.introduction
-	if i.round == 0 || i.incarnation == incarnation {
+	if i.round == 0 || i.incarnation == incarnation || i.incarnation == a.earlierProcess {
 		return false
 	}
-	return !i.at.Before(later(d.started, a.otherProcessAt).Add(-memberAgeSlack))
+	return !i.at.Before(later(d.started, a.earlierProcessAt).Add(-memberAgeSlack))
 }
 
 // confirmIntroduction informs an agent that others know of it. An agent of a small fleet is
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -111,7 +111,7 @@
 	d.introducedAgentReached = d.introducedAgentReached || m.State == ServerReady
 	d.recordAnswer(now, a, m)
 	if known && m.Incarnation != a.incarnation {
-		a.otherProcessAt = before.lastReceivedAt
+		a.earlierProcess, a.earlierProcessAt = before.incarnation, before.lastReceivedAt
 	}
 	d.recordFlows(now, a, m)
 	a.recordProcess(m)
