--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -9,7 +9,7 @@
 // server is known to have sent, and it does not if either of its numbers is outside the range
 // that is possible. What was seen of a flow is only a lower bound of what its ends have sent
 // before this process saw it: it proves nothing about higher numbers, and the server's reaction
-// to the packet has to decide; see Gate.answer and Gate.probe.
+// to the packet has to decide; see Gate.answer and Gate.sendProbe.
 
 const (
 	// ackSlack is the number of bytes by which a caller's acknowledgement may exceed the
--- a/flow/gate.go
+++ b/flow/gate.go
@@ -125,7 +125,7 @@
 	evidence
 	probe            positions // of the packet about which the server's next packet decides
 	probing          bool
-	replaces         *replacedFlow // gateOffered: the open flow from the same port, if there is one
+	replaces         *replacedFlow // gateOffered: the flow from the same port that the server holds, if there is one
 	callerEnd        uint32        // sequence number after the last byte that the caller sent
 	hasCallerEnd     bool
 	requestActive    bool // counts as a request in progress, from the first packet on
