--- a/flow/reused_port_test.go
+++ b/flow/reused_port_test.go
@@ -179,3 +179,50 @@
 		t.Errorf("%v, want lost", got)
 	}
 }
+
+// Guards against callers of lost flows that are not notified in time: the agent was restarted before
+// its server ended, and knows their flows from the middle or not at all.
+func TestCallersOfLostFlowsAreNotifiedAfterAgentRestart(t *testing.T) {
+	const callers = 9
+	for name, used := range map[string]bool{"used since": true, "not used since": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			var list []*testCaller
+			for port := range uint16(callers) {
+				c := w.caller(firstPort+port, listingPort)
+				c.open(balancerA, 0)
+				c.request(balancerA)
+				list = append(list, c)
+			}
+			w.restartAgents()
+			if used {
+				for _, c := range list {
+					c.send(balancerA, c.next())
+				}
+			}
+			n := list[0].holders()[0]
+			lost := 0
+			for _, c := range list {
+				if c.holders()[0] == n {
+					lost++
+				}
+			}
+			v := w.server(n)
+			v.instance, v.flows = "i-new", map[Key]*serverFlow{}
+			w.heartbeat(n, 1, false)
+			for range 4 {
+				for _, c := range list {
+					c.send(balancerB, c.next())
+				}
+				w.advance(500 * time.Millisecond)
+			}
+			notified := map[Key]bool{}
+			for _, r := range w.resets {
+				notified[r.Message.Key] = true
+			}
+			if len(notified) != lost {
+				t.Errorf("%d callers were notified within 2 s, want %d", len(notified), lost)
+			}
+		})
+	}
+}
