balancer: an introduction from before the first message of an agent's process does not outdate its reports

An introduction outdates the reports of a process only if it is later than this balancer's first message from that process, and only reports of the agent itself: what another balancer says of an agent's flows is ordered by times, as before.

TestIntroductionOfEarlierProcessDoesNotOutdateEnd: before, an announced end is not believed; now it is.

--- a/flow/announce.go
+++ b/flow/announce.go
@@ -229,5 +229,6 @@
 	a.state = ServerEnded
 	a.peerReceivedAt = later(a.peerReceivedAt, m.receivedAt)
 	d.recordEnded(now, a)
+	a.flowsFromPeer = true
 	d.trace.Agent(now, a.addr, a.service, a.state, "announced")
 }
--- a/flow/director.go
+++ b/flow/director.go
@@ -71,8 +71,8 @@
 	service           ServiceID
 	state             ServerState
 	incarnation       uint64
+	processSince      time.Time  // first message from that process
 	earlierProcess    uint64     // incarnation of the process that it sent messages from before; 0: none known
-	earlierProcessAt  time.Time  // last message from that process
 	introduction      introduced // the latest one known
 	zone              uint32     // ZoneID of its availability zone; 0: unknown
 	local             bool       // in the balancer's own zone
@@ -83,6 +83,7 @@
 	unresponsive      bool       // gets no new flows until it answers again
 	holdsNoFlows      bool       // at flowsKnownAt its server held no flow and got none
 	flowsKnownAt      time.Time  // when the agent, or another balancer for it, reported that
+	flowsFromPeer     bool       // another balancer reported that
 	recentlyStarted   bool       // it and its server had recently started when they first made contact
 	unresponsiveSince time.Time  // when it became unresponsive
 	failureAnnounced  bool       // it counts as unresponsive because another balancer announced that
--- a/flow/introducer.go
+++ b/flow/introducer.go
@@ -77,7 +77,7 @@
 	if i.round != 0 && !a.introduction.at.After(i.at) {
 		a.introduction = i
 	}
-	if !a.holdsNoFlows || !a.introducedSince(i) && !d.outdated(a, a.incarnation) {
+	if !a.holdsNoFlows || !a.introducedSince(i) && (a.flowsFromPeer || !a.outdated()) {
 		return
 	}
 	a.holdsNoFlows = false
@@ -97,15 +97,16 @@
 	return !i.at.Before(a.flowsKnownAt.Add(-memberAgeSlack))
 }
 
-// outdated reports whether another process of an agent may have been introduced since the one with
-// the given incarnation sent its messages. A process that this balancer received messages from
-// before is an earlier one, and no message that it receives was sent before it started itself.
-func (d *Director) outdated(a *agent, incarnation uint64) bool {
+// outdated reports whether another process of an agent may have been introduced since the one
+// that it sent its latest message from. A process that this balancer received messages from
+// before is an earlier one, and so is one that was introduced before the first message from the
+// present one.
+func (a *agent) outdated() bool {
 	i := &a.introduction
-	if i.round == 0 || i.incarnation == incarnation || i.incarnation == a.earlierProcess {
+	if i.round == 0 || a.processSince.IsZero() || i.incarnation == a.incarnation || i.incarnation == a.earlierProcess {
 		return false
 	}
-	return !i.at.Before(later(d.started, a.earlierProcessAt).Add(-memberAgeSlack))
+	return !i.at.Before(a.processSince.Add(-memberAgeSlack))
 }
 
 // confirmIntroduction informs an agent that others know of it. An agent of a small fleet is
--- a/flow/members.go
+++ b/flow/members.go
@@ -330,5 +330,5 @@
 		return
 	}
 	a.peerReceivedAt = m.receivedAt
-	a.holdsNoFlows, a.flowsKnownAt = m.holdsNoFlows, m.receivedAt
+	a.holdsNoFlows, a.flowsKnownAt, a.flowsFromPeer = m.holdsNoFlows, m.receivedAt, true
 }
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -110,10 +110,11 @@
 	d.agentReached = true
 	d.introducedAgentReached = d.introducedAgentReached || m.State == ServerReady
 	d.recordAnswer(now, a, m)
-	if known && m.Incarnation != a.incarnation {
-		a.earlierProcess, a.earlierProcessAt = before.incarnation, before.lastReceivedAt
+	if before.lastReceivedAt.IsZero() || m.Incarnation != before.incarnation {
+		a.processSince, a.earlierProcess, a.incarnation = now, before.incarnation, m.Incarnation
+		a.round, a.introducing, a.listVersion = 0, 0, 0
 	}
-	d.recordFlows(now, a, m)
+	a.recordFlows(now, m)
 	a.recordProcess(m)
 	if a.ended() && !a.holdsNoFlows {
 		a.state = ServerUnknown // that of the process that was introduced since
@@ -163,27 +164,24 @@
 	}
 }
 
-// recordProcess records the state of the agent's server, and which process of the agent
-// reports it.
+// recordProcess records the state of the agent's server, and the latest introduction of the
+// process that reports it.
 func (a *agent) recordProcess(m *Message) {
-	if m.Incarnation != a.incarnation {
-		a.round, a.introducing, a.listVersion = 0, 0, 0
-	}
 	if (m.Kind == Report || m.Kind == QueryAnswer) && !m.Introduce {
 		a.round = m.Round
 	}
-	a.state, a.incarnation = m.State, m.Incarnation
+	a.state = m.State
 }
 
 // recordFlows records what a message says about the flows of the agent's server. What an earlier
 // process said does not hold for one that was introduced since, however late it is read.
-func (d *Director) recordFlows(now time.Time, a *agent, m *Message) {
+func (a *agent) recordFlows(now time.Time, m *Message) {
 	describes := m.Kind == Report || m.Kind == QueryAnswer
 	if describes {
 		a.recentlyStarted = m.Reason == ReasonStarted
 	}
 	switch {
-	case d.outdated(a, m.Incarnation):
+	case a.outdated():
 		a.holdsNoFlows = false
 	case m.State == ServerEnded || m.State != ServerReady && describes && m.Reason == ReasonNotHeld:
 		a.holdsNoFlows = true
@@ -191,7 +189,7 @@
 		a.holdsNoFlows = false
 	}
 	if a.holdsNoFlows {
-		a.flowsKnownAt = now
+		a.flowsKnownAt, a.flowsFromPeer = now, false
 	}
 }
 
--- a/flow/stale_report_test.go
+++ b/flow/stale_report_test.go
@@ -57,3 +57,27 @@
 	w.deliver()
 	return reports
 }
+
+// Guards against callers of ended flows that are notified late: a balancer does not believe that the
+// server of a restarted agent has ended, because it knows the introduction of the agent's earlier
+// process, from which it never received a message.
+func TestIntroductionOfEarlierProcessDoesNotOutdateEnd(t *testing.T) {
+	const earlier, present = 1, 2
+	for name, announced := range map[string]bool{"reported": false, "announced": true} {
+		now := time.Unix(1000, 0)
+		d := NewDirector(now, DirectorConfig{Zone: "a", Addr: balancerA}, nil)
+		d.mergeIntroduced(now, introduced{addr: agentAddr(0), service: listing, incarnation: earlier, round: 1, at: now})
+		now = now.Add(time.Minute)
+		d.FromAgent(now, agentAddr(0), &Message{Kind: Report, State: ServerReady, Service: listing, Incarnation: present}, nil, nil)
+		now = now.Add(time.Second)
+		if announced {
+			d.onEndAnnounced(now, member{addr: agentAddr(0), service: listing, receivedAt: now})
+			d.mergeIntroduced(now, introduced{addr: agentAddr(0), service: listing, incarnation: present + 1, round: 1, at: now.Add(-500 * time.Millisecond)})
+		} else {
+			d.FromAgent(now, agentAddr(0), &Message{Kind: Report, State: ServerEnded, Service: listing, Incarnation: present}, nil, nil)
+		}
+		if a := d.agents[agentAddr(0)]; !a.ended() || !a.holdsNoFlows {
+			t.Errorf("%s: state %v, holds no flows: %v", name, a.state, a.holdsNoFlows)
+		}
+	}
+}
