agent: a server's reset reaches the caller only if it is one of the flow that the agent knows

Cause: an agent that can't tell whether its server holds a packet's flow sends the packet to it. The server has the flow half open from a first packet that it got late, and answers with a reset. The agent kept that from the caller once; the answer to a second packet, from a repeated lookup or another balancer, was passed on. The probes were more than before, since an entry whose first packet the server has not answered had been answered as not held.

Change: a reset of the server is passed on if it refuses the flow's first packet, or has a number of what the server has sent in the flow of the entry; a reset that answers a packet of another flow has that packet's number. Any other one is dropped, and answers a probe with "not held". While the server has not reacted to a first packet, the agent answers "unknown" and sends no probe.

--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -186,6 +186,15 @@
 	v.callerBound = max(v.callerBound, windowBounded)
 }
 
+// resetBy reports whether a reset of the server is one of the entry's flow: it refuses the flow's
+// first packet, or has a number of what the server has sent.
+func (f *gateFlow) resetBy(s *Segment) bool {
+	if f.state == gateOffered {
+		return s.HasAck && s.Ack == f.opener+synLength
+	}
+	return f.confirmed() && f.serverStream().match(s.Seq) == sameFlow
+}
+
 // confirmed reports whether the server has shown that it holds the entry's flow. It holds no other
 // flow from the same port then: another one would have replaced it.
 func (f *gateFlow) confirmed() bool { return f.state == gateAnswered || f.state == gateOpen }
@@ -209,6 +218,8 @@
 		return FlowNeedsPacket, 0
 	case g.complete(now):
 		return FlowNotHeld, basis
+	case f != nil && f.state == gateOffered:
+		return FlowUnknown, 0 // until the server reacts to the first packet
 	case !g.server.responded:
 		// Without a server the operating system may answer a packet with a reset, which ends
 		// the flow that another server holds.
--- a/flow/held.go
+++ b/flow/held.go
@@ -151,19 +151,21 @@
 	case s.Bounced:
 		g.onBounced(now, f, &s, packet)
 		return
-	case s.Rst && f != nil && f.probing:
-		// Answers the probe. Its caller may have the flow at another server, and accepts any
-		// reset.
-		g.rejectProbe(now, f, s.Key, BasisBounced)
+	case s.Rst && (f == nil || !f.resetBy(&s)):
+		// Answers a packet of a flow that the server does not hold. Its caller may have the flow
+		// at another server, and would accept the reset.
+		if f != nil && f.probing {
+			g.rejectProbe(now, f, s.Key, BasisBounced)
+		}
 		return
-	case !s.Rst && (f == nil || f.state == gateLost),
+	case f == nil || f.state == gateLost,
 		s.Syn && f.state == gateOpen && !f.openedBy(s.Ack-synLength):
 		f = g.addExistingFlow(now, &s)
 	}
 	if f != nil && f.replaces != nil {
 		g.settleReplaced(f, &s)
 	}
-	if f != nil && f.state != gateLost {
+	if f != nil {
 		g.recordServerPacket(now, f, &s)
 	}
 	g.sendToCaller(s.Key, packet)
